Add design, build, base library and module interfaces

Cause: the repository was empty; parallel work needs fixed interfaces.

Change: docs/design.md with requirements, state, messages and failure behaviour; Makefile with release, asan and tsan variants; formatter and linter settings for style(9); the base library (context, errors, strings, arenas, clocks, hashing, JSON-lines log); public headers of the decision modules and of the platform ports. One owner router per cell of at most 16 upstreams was chosen over one owner per engine and over grants, for the reasons in section 2.1; it is still to be measured.

Conclusion: modules can be written independently against these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,81 @@
+# Builds the library, the tools, the stand-ins and the tests.
+#   make             release build in build/release
+#   make VARIANT=asan|tsan   the same under sanitizers in build/asan, build/tsan
+#   make demo        main job: stand-ins, three routers, a chat and an order
+#   make check       every test
+
+VARIANT ?= release
+B := build/$(VARIANT)
+
+PKGS := libtirpc libcurl jansson yaml-0.1 libxxhash argtable2
+CFLAGS_release := -O2 -g
+CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
+    -fno-sanitize-recover=all
+CFLAGS_tsan := -O1 -g -fsanitize=thread
+
+CC := gcc
+CPPFLAGS := -D_GNU_SOURCE -Iinclude $(shell pkg-config --cflags $(PKGS))
+CFLAGS := -std=c11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+    -Wmissing-prototypes -Wno-cast-function-type -pthread $(CFLAGS_$(VARIANT))
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lcivetweb -lurcu-bp \
+    -lurcu-common -lm -lpthread
+
+LIB_SRC := $(filter-out source/tools/%,$(wildcard source/*/*.c))
+LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
+LIB := $(B)/libpoplarbeam.a
+
+STANDIN_LIB_SRC := $(wildcard standin/lib/*.c)
+STANDIN_LIB_OBJ := $(STANDIN_LIB_SRC:%.c=$(B)/%.o)
+
+TOOLS := $(patsubst source/tools/%.c,$(B)/%,$(wildcard source/tools/*.c))
+STANDINS := $(patsubst standin/%.c,$(B)/%,$(wildcard standin/*.c))
+TESTS := $(patsubst tests/%.c,$(B)/%,$(wildcard tests/test-*.c))
+MEASURES := $(patsubst tests/%.c,$(B)/%,$(wildcard tests/measure-*.c))
+TEST_LIB_OBJ := $(patsubst %.c,$(B)/%.o,$(wildcard tests/lib/*.c))
+
+all: $(LIB) $(TOOLS) $(STANDINS) $(TESTS) $(MEASURES)
+
+$(B)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+# rpcgen output is exempt from warnings that its generator causes.
+$(B)/source/peer/peer_%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
+    -Wno-unused-parameter -Wno-strict-prototypes
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(TOOLS): $(B)/%: $(B)/source/tools/%.o $(LIB)
+	$(CC) $(CFLAGS) -o $@ $< $(LIB) $(LDLIBS)
+
+$(STANDINS): $(B)/%: $(B)/standin/%.o $(STANDIN_LIB_OBJ) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $< $(STANDIN_LIB_OBJ) $(LIB) $(LDLIBS)
+
+$(TESTS) $(MEASURES): $(B)/%: $(B)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
+	$(CC) $(CFLAGS) -o $@ $< $(TEST_LIB_OBJ) $(LIB) $(LDLIBS) -lcunit
+
+deps:
+	scripts/install-deps
+
+demo: deps
+	$(MAKE) -s -j8 all
+	scripts/demo
+
+check: deps
+	scripts/check
+
+lint:
+	scripts/lint
+
+format:
+	clang-format -i $(shell scripts/list-sources)
+
+clean:
+	rm -rf build
+
+.PHONY: all deps demo check lint format clean
+.SECONDARY:
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/poplarbeam/settings.h
@@ -0,0 +1,111 @@
+#ifndef POPLARBEAM_SETTINGS_H
+#define POPLARBEAM_SETTINGS_H
+
+#include "poplarbeam/base.h"
+#include "poplarbeam/limit.h"
+#include "poplarbeam/queue.h"
+
+/*
+ * The operators' settings: YAML text of the fleet and of each team's subtree,
+ * checked and turned into one immutable snapshot. Every message about a bad
+ * value names file, line, path and unit.
+ */
+
+enum pb_service_kind {
+	PB_SERVICE_MODEL, /* OpenAI-compatible chat completions, by model name
+			   */
+	PB_SERVICE_PLAIN /* any HTTP call, by path prefix */
+};
+
+struct pb_service {
+	char name[48];
+	char team[48];
+	enum pb_service_kind kind;
+	char prefix[64]; /* plain services: path prefix, "/booking" */
+	int cells; /* cells of the service, at least 1 */
+	double bound;
+	double inner_limit;
+	uint32_t floor_work;
+	double capacity; /* work units that one upstream holds at once */
+	uint32_t answer_work; /* expected answer tokens when not given */
+	uint32_t call_work; /* work of one plain call */
+	size_t max_body_bytes;
+	int64_t ramp_us;
+	int64_t timeout_us; /* whole request */
+	int64_t connect_us; /* connection to an upstream */
+	int64_t idle_us; /* longest silence of an upstream */
+	uint32_t queue_items;
+	uint64_t queue_bytes;
+	bool resume; /* upstream can resume streams */
+	double eject_share; /* largest share of upstreams ejected */
+};
+
+struct pb_account {
+	char name[48];
+	char team[48];
+	uint64_t id; /* pb_hash_cstr(name, 0) */
+	uint64_t key_hash; /* hash of the bearer key */
+	double weight;
+	int best_rank; /* index of the most urgent rank it may use */
+	int default_rank;
+	struct pb_account_limits limits;
+};
+
+struct pb_settings {
+	uint64_t revision;
+	int refs; /* atomic */
+	int rank_count;
+	struct pb_rank_policy rank[PB_RANKS_MAX];
+	int service_count;
+	struct pb_service *services;
+	int account_count;
+	struct pb_account *accounts; /* sorted by key_hash */
+	double retry_share; /* retries per first attempt */
+	int64_t containment_us;
+	int64_t takeover_us;
+	int64_t poll_us;
+	int64_t freshness_us;
+	int64_t drain_us; /* deadline of a graceful stop */
+	int64_t claim_send_us;
+	int64_t claim_retention_us;
+	double control_bytes_per_sec;
+	int64_t digest_us;
+};
+
+/* One YAML document. name is used in messages; team is empty for the fleet. */
+struct pb_settings_text {
+	const char *name;
+	const char *team;
+	struct pb_str text;
+};
+
+/* Collects "file:line: path: message" lines. */
+struct pb_settings_report {
+	struct pb_buf lines;
+	int count;
+};
+
+/*
+ * Parses and checks documents and merges them into a new snapshot with one
+ * reference, owned by the caller. NULL when any check failed; the report then
+ * says why.
+ */
+struct pb_settings *pb_parse_settings(struct pb_context *ctx,
+    const struct pb_settings_text *texts, size_t count, uint64_t revision,
+    struct pb_settings_report *report);
+struct pb_settings *pb_keep_settings(struct pb_settings *settings);
+void pb_drop_settings(struct pb_context *ctx, struct pb_settings *settings);
+
+/* NULL when there is none. The result lives as long as the snapshot. */
+const struct pb_service *pb_find_service(
+    const struct pb_settings *settings, const char *name);
+const struct pb_service *pb_find_service_by_path(
+    const struct pb_settings *settings, const char *path);
+const struct pb_account *pb_find_account_by_key(
+    const struct pb_settings *settings, struct pb_str key);
+const struct pb_account *pb_find_account(
+    const struct pb_settings *settings, const char *name);
+/* Index of the rank, or -1. */
+int pb_find_rank(const struct pb_settings *settings, const char *name);
+
+#endif
--- /dev/null
+++ b/source/base/base-string.c
@@ -0,0 +1,91 @@
+#include "poplarbeam/base.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct pb_str
+pb_str_from(const char *cstr)
+{
+	struct pb_str s = {cstr, cstr != NULL ? strlen(cstr) : 0};
+
+	return s;
+}
+
+bool
+pb_str_equal(struct pb_str a, struct pb_str b)
+{
+	return a.len == b.len &&
+	    (a.len == 0 || memcmp(a.data, b.data, a.len) == 0);
+}
+
+bool
+pb_str_equal_c(struct pb_str a, const char *b)
+{
+	return pb_str_equal(a, pb_str_from(b));
+}
+
+void
+pb_copy_str(char *dst, size_t cap, const char *src)
+{
+	size_t len = src != NULL ? strnlen(src, cap - 1) : 0;
+
+	if (len > 0)
+		memcpy(dst, src, len);
+	dst[len] = '\0';
+}
+
+static int
+reserve_buf(struct pb_buf *buf, size_t extra)
+{
+	size_t need = buf->len + extra + 1;
+	size_t cap = buf->cap > 0 ? buf->cap : 256;
+	char *data;
+
+	if (need <= buf->cap)
+		return PB_OK;
+	while (cap < need)
+		cap *= 2;
+	data = realloc(buf->data, cap);
+	if (data == NULL)
+		return PB_ENOMEM;
+	buf->data = data;
+	buf->cap = cap;
+	return PB_OK;
+}
+
+int
+pb_append_buf(struct pb_buf *buf, const void *data, size_t len)
+{
+	if (reserve_buf(buf, len) != PB_OK)
+		return PB_ENOMEM;
+	if (len > 0)
+		memcpy(buf->data + buf->len, data, len);
+	buf->len += len;
+	buf->data[buf->len] = '\0';
+	return PB_OK;
+}
+
+int
+pb_append_fmt(struct pb_buf *buf, const char *fmt, ...)
+{
+	va_list ap;
+	int len;
+
+	va_start(ap, fmt);
+	len = vsnprintf(NULL, 0, fmt, ap);
+	va_end(ap);
+	if (len < 0 || reserve_buf(buf, (size_t)len) != PB_OK)
+		return PB_ENOMEM;
+	va_start(ap, fmt);
+	vsnprintf(buf->data + buf->len, (size_t)len + 1, fmt, ap);
+	va_end(ap);
+	buf->len += (size_t)len;
+	return PB_OK;
+}
+
+void
+pb_clear_buf(struct pb_buf *buf)
+{
+	free(buf->data);
+	memset(buf, 0, sizeof(*buf));
+}
--- /dev/null
+++ b/tests/test-base.c
@@ -0,0 +1,100 @@
+#include "poplarbeam/base.h"
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+
+/* Guards against an arena that hands out overlapping or misaligned memory. */
+static void
+test_arena_blocks(void)
+{
+	struct pb_arena *arena = pb_new_arena(ctx);
+	char *prev = NULL;
+	int i;
+
+	for (i = 1; i < 500; i++) {
+		char *p = pb_arena_alloc(arena, (size_t)i);
+
+		CU_ASSERT_PTR_NOT_NULL(p);
+		if (p == NULL)
+			break;
+		CU_ASSERT_EQUAL((uintptr_t)p % 16, 0);
+		memset(p, i & 0xff, (size_t)i);
+		if (prev != NULL)
+			CU_ASSERT_EQUAL((unsigned char)*prev, (i - 1) & 0xff);
+		prev = p;
+	}
+	pb_drop_arena(ctx, arena);
+}
+
+/* Guards against rendezvous scores that ignore the weight of a node. */
+static void
+test_rendezvous_weight(void)
+{
+	int heavy = 0, i;
+
+	for (i = 0; i < 20000; i++) {
+		double a = pb_rendezvous_score((uint64_t)i, 1, 3.0);
+		double b = pb_rendezvous_score((uint64_t)i, 2, 1.0);
+
+		heavy += a > b;
+	}
+	CU_ASSERT(heavy > 14700 && heavy < 15300);
+}
+
+/* Guards against a log line that breaks when text holds quotes or newlines. */
+static void
+test_log_escapes(void)
+{
+	char *text = NULL;
+	size_t len = 0;
+	FILE *f = open_memstream(&text, &len);
+	struct pb_log *log = pb_new_log(f, PB_INFO, "r1");
+	struct pb_context *c = pb_new_context(&clk.base, log);
+
+	pb_log(c, PB_INFO, "step", NULL, "q1", "a \"b\"\nc");
+	fclose(f);
+	CU_ASSERT_STRING_EQUAL(text,
+	    "{\"time\":\"1970-01-01T00:00:01.000000Z\",\"level\":\"info\","
+	    "\"instance\":\"r1\",\"step\":\"step\",\"request\":\"q1\","
+	    "\"text\":\"a \\\"b\\\"\\u000ac\"}\n");
+	free(text);
+	pb_drop_context(c);
+	pb_drop_log(log);
+}
+
+/* Guards against an error that loses the step or the peer. */
+static void
+test_error_fields(void)
+{
+	int rc = pb_set_error(ctx, PB_EUNAVAIL, "connect", "e1", "port %d", 80);
+
+	CU_ASSERT_EQUAL(rc, PB_EUNAVAIL);
+	CU_ASSERT_STRING_EQUAL(ctx->error.step, "connect");
+	CU_ASSERT_STRING_EQUAL(ctx->error.peer, "e1");
+	CU_ASSERT_STRING_EQUAL(ctx->error.text, "port 80");
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("base", NULL, NULL);
+	CU_add_test(s, "arena blocks", test_arena_blocks);
+	CU_add_test(s, "rendezvous weight", test_rendezvous_weight);
+	CU_add_test(s, "log escapes", test_log_escapes);
+	CU_add_test(s, "error fields", test_error_fields);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
