--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CFLAGS_tsan := -O1 -g -fsanitize=thread
 
 CC := gcc
-CPPFLAGS := -D_GNU_SOURCE -Iinclude $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS := -D_GNU_SOURCE -Iinclude -Istandin/lib -Itests/lib $(shell pkg-config --cflags $(PKGS))
 CFLAGS := -std=c11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wno-cast-function-type -pthread $(CFLAGS_$(VARIANT))
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lcivetweb -lurcu-bp \
--- /dev/null
+++ b/standin/lib/engine-cache.h
@@ -0,0 +1,23 @@
+#ifndef STANDIN_ENGINE_CACHE_H
+#define STANDIN_ENGINE_CACHE_H
+
+#include <jansson.h>
+#include <stddef.h>
+
+/*
+ * Prefix cache of the model engine stand-in: remembers which runs of messages
+ * it has seen, least recently used first out. Thread safe.
+ */
+struct engine_cache;
+
+/* cap: bytes of message text that it holds. */
+struct engine_cache *engine_cache_new(size_t cap);
+void engine_cache_drop(struct engine_cache *cache);
+
+/* Bytes of the longest prefix of body's messages that is cached. */
+unsigned int engine_cache_match(struct engine_cache *cache, const json_t *body);
+/* Remembers all prefixes of body's messages. */
+void engine_cache_insert(
+    struct engine_cache *cache, const json_t *body, unsigned int answer_bytes);
+
+#endif
