Add the request path: callers, relay to the owner, calls to upstreams

Cause: a request must run from a caller through an entry router and the owner of a cell to an upstream and back.

CivetWeb's client was ruled out: no connection reuse, no limits per phase, no report of a truncated chunked body. Calls that are not idempotent use fresh connections, because libcurl resends on a reused connection that broke.

--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -12,8 +12,8 @@
  * other module uses.
  */
 
-#define PB_MSEC 1000LL /* microseconds in a millisecond */
-#define PB_SEC (1000LL * PB_MSEC) /* microseconds in a second */
+#define PB_MSEC INT64_C(1000) /* microseconds in a millisecond */
+#define PB_SEC (1000 * PB_MSEC) /* microseconds in a second */
 
 /* Result codes of functions that can fail; 0 is success. */
 enum pb_code {
--- /dev/null
+++ b/source/caller/caller-answer.c
@@ -0,0 +1,180 @@
+#include "caller-internal.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define HOLD_BACK_MAX 65536 /* bytes held back until an answer is whole */
+
+static bool
+is_event_stream(const struct pb_header *headers, size_t count)
+{
+	struct pb_str type = pb_find_header(headers, count, "Content-Type");
+
+	return type.len >= 17 &&
+	    strncasecmp(type.data, "text/event-stream", 17) == 0;
+}
+
+static void
+keep_head(struct caller_sink *s, int status, const struct pb_header *headers,
+    size_t count)
+{
+	struct pb_arena *arena = s->entry->arena;
+	size_t i, n = 0;
+
+	s->status = status;
+	for (i = 0; i < count; i++) {
+		if (headers[i].name.len >= 5 &&
+		    strncasecmp(headers[i].name.data, "X-Pb-", 5) == 0)
+			continue;
+		s->headers[n].name = pb_arena_str(
+		    arena, headers[i].name.data, headers[i].name.len);
+		s->headers[n].value = pb_arena_str(
+		    arena, headers[i].value.data, headers[i].value.len);
+		if (s->headers[n].name.data != NULL &&
+		    s->headers[n].value.data != NULL)
+			n++;
+	}
+	s->header_count = n;
+}
+
+static int
+sink_head(struct pb_sink *sink, int status, const struct pb_header *headers,
+    size_t count)
+{
+	struct caller_sink *s = (struct caller_sink *)sink;
+	bool events = status == 200 && is_event_stream(headers, count);
+
+	if (s->mode == ANSWER_STREAM)
+		return events ? 0 : -1; /* resumed */
+	keep_head(s, status, headers, count);
+	s->mode = events ? ANSWER_STREAM : ANSWER_BUFFER;
+	return 0;
+}
+
+static int
+begin(struct caller_sink *s)
+{
+	if (s->answer.begun)
+		return 0;
+	return pb_begin_answer(
+	    &s->answer, s->status, s->headers, s->header_count, s->extra);
+}
+
+static int
+pass_events(void *arg, const char *data, size_t len)
+{
+	struct caller_sink *s = arg;
+
+	return begin(s) == 0 ? pb_write_answer(&s->answer, data, len) : -1;
+}
+
+static int
+release_buffer(struct caller_sink *s)
+{
+	if (begin(s) != 0)
+		return -1;
+	return pb_write_answer(&s->answer, s->body.data, s->body.len);
+}
+
+static int
+sink_body(struct pb_sink *sink, const void *data, size_t len)
+{
+	struct caller_sink *s = (struct caller_sink *)sink;
+
+	if (s->mode == ANSWER_STREAM)
+		return pb_feed_sse(&s->sse, data, len, pass_events, s);
+	if (s->mode == ANSWER_PASS)
+		return pb_write_answer(&s->answer, data, len);
+	if (pb_append_buf(&s->body, data, len) != PB_OK)
+		return -1;
+	if (s->body.len <= HOLD_BACK_MAX)
+		return 0;
+	s->mode = ANSWER_PASS;
+	return release_buffer(s);
+}
+
+void
+caller_sink_init(struct caller_sink *s, struct entry *entry)
+{
+	static const struct pb_sink_ops ops = {sink_head, sink_body};
+
+	memset(s, 0, sizeof(*s));
+	s->base.ops = &ops;
+	s->entry = entry;
+	s->answer.conn = entry->conn;
+	snprintf(
+	    s->extra, sizeof(s->extra), "X-Request-Id: %s\r\n", entry->req.id);
+}
+
+void
+caller_sink_retry(struct caller_sink *s)
+{
+	pb_reset_sse(&s->sse);
+	if (s->answer.begun)
+		return;
+	s->mode = ANSWER_NONE;
+	s->body.len = 0;
+	s->sse.last_id = 0;
+	s->sse.done = false;
+}
+
+bool
+caller_sink_whole(const struct caller_sink *s, bool framed_whole)
+{
+	switch (s->mode) {
+	case ANSWER_STREAM:
+		return s->sse.done;
+	case ANSWER_BUFFER:
+	case ANSWER_PASS:
+		return framed_whole;
+	default:
+		return false;
+	}
+}
+
+int
+caller_sink_finish(struct caller_sink *s)
+{
+	if (s->mode == ANSWER_BUFFER)
+		release_buffer(s);
+	return pb_end_answer(&s->answer, true);
+}
+
+void
+caller_sink_clear(struct caller_sink *s)
+{
+	pb_clear_sse(&s->sse);
+	pb_clear_buf(&s->body);
+}
+
+int
+entry_refuse(struct entry *e, enum verdict verdict, int status,
+    const char *code, const char *message, int64_t retry_after_us)
+{
+	static const char *const types[] = {
+	    "invalid_request", "not_run", "in_progress", "outcome_unknown"};
+	static const char *const outcomes[] = {
+	    "not-run", "not-run", "unknown", "unknown"};
+	char extra[192], retry[48] = "";
+	char *text;
+	int rc;
+
+	if (retry_after_us > 0)
+		snprintf(retry, sizeof(retry), "Retry-After: %lld\r\n",
+		    (long long)((retry_after_us + PB_SEC - 1) / PB_SEC));
+	snprintf(extra, sizeof(extra),
+	    "X-Request-Id: %s\r\nX-Poplarbeam-Outcome: %s\r\n%s", e->req.id,
+	    outcomes[verdict], retry);
+	json_t *v =
+	    json_pack("{s:{s:s,s:s,s:s,s:s}}", "error", "type", types[verdict],
+		"code", code, "message", message, "request_id", e->req.id);
+
+	text = json_dumps(v, JSON_COMPACT);
+	json_decref(v);
+	rc = pb_send_text(e->conn, status, "application/json", extra,
+	    pb_str_from(text != NULL ? text : "{}"));
+	free(text);
+	return rc;
+}
--- /dev/null
+++ b/source/caller/caller-claim.c
@@ -0,0 +1,199 @@
+#include "caller-internal.h"
+
+#include <string.h>
+
+#define RUNNING_LIMIT (10 * 60 * PB_SEC) /* then a claim counts as unknown */
+
+static int
+finish_whole(struct entry *e, struct caller_sink *sink)
+{
+	struct pb_node *node = e->server->node;
+	int rc = caller_sink_finish(sink);
+
+	pb_count(node->metrics,
+	    sink->answer.broken ? PB_COUNT_GONE : PB_COUNT_COMPLETE, 1);
+	pb_add_event(e->ctx, node->events, "answered", e->req.id, e->req.chat,
+	    NULL, "status %d", sink->status);
+	return rc;
+}
+
+/* Marks a stream as failed and closes it without its end. */
+static int
+finish_broken(struct entry *e, struct caller_sink *sink)
+{
+	static const char event[] =
+	    "event: error\ndata: {\"error\":{\"type\":\"failed_after_start\","
+	    "\"code\":\"upstream_broke\",\"message\":\"the answer is not "
+	    "whole\"}}\n\n";
+	struct pb_node *node = e->server->node;
+
+	if (sink->mode == ANSWER_STREAM)
+		pb_write_answer(&sink->answer, event, sizeof(event) - 1);
+	pb_count(node->metrics, PB_COUNT_FAILED, 1);
+	pb_add_event(e->ctx, node->events, "failed", e->req.id, e->req.chat,
+	    NULL, "after event %llu", (unsigned long long)sink->sse.last_id);
+	return pb_end_answer(&sink->answer, false);
+}
+
+static int
+refuse_not_run(struct entry *e, const struct pb_run_result *run)
+{
+	struct pb_node *node = e->server->node;
+	int status = run->reason == PB_REFUSED_LIMIT ? 429
+	    : run->reason == PB_REFUSED_CONTAINED    ? 422
+						     : 503;
+
+	pb_count(node->metrics, PB_COUNT_NOT_RUN, 1);
+	pb_add_event(e->ctx, node->events, "not-run", e->req.id, e->req.chat,
+	    NULL, "%s", run->code);
+	return entry_refuse(e, VERDICT_NOT_RUN, status, run->code,
+	    "the request did not run", status == 422 ? 0 : run->retry_after_us);
+}
+
+static int
+refuse_unknown(struct entry *e, const char *code)
+{
+	struct pb_node *node = e->server->node;
+
+	pb_count(node->metrics, PB_COUNT_UNKNOWN, 1);
+	pb_add_event(e->ctx, node->events, "unknown", e->req.id, e->req.chat,
+	    NULL, "%s", code);
+	return entry_refuse(e, VERDICT_UNKNOWN, 502, code,
+	    "it is not known whether the request ran", 0);
+}
+
+static int
+conclude(
+    struct entry *e, struct caller_sink *sink, const struct entry_outcome *out)
+{
+	switch (out->kind) {
+	case ENTRY_WHOLE:
+		return finish_whole(e, sink);
+	case ENTRY_NOT_RUN:
+		return refuse_not_run(e, &out->run);
+	case ENTRY_UNKNOWN:
+		return refuse_unknown(e, out->run.code);
+	case ENTRY_GONE:
+		pb_count(e->server->node->metrics, PB_COUNT_GONE, 1);
+		return pb_end_answer(&sink->answer, false);
+	default:
+		return finish_broken(e, sink);
+	}
+}
+
+/* Records in the claim's row how the call ended. */
+static void
+record(struct entry *e, const struct pb_claim_policy *policy,
+    struct pb_claim *claim, const struct caller_sink *sink,
+    const struct entry_outcome *out)
+{
+	struct pb_table *table = e->server->node->table;
+	struct pb_str type =
+	    pb_find_header(sink->headers, sink->header_count, "Content-Type");
+	struct pb_str body = {sink->body.data, sink->body.len};
+	char copy[64] = "";
+	int rc;
+
+	if (type.data != NULL)
+		pb_copy_str(copy, sizeof(copy), type.data);
+	if (out->kind == ENTRY_WHOLE)
+		rc = pb_settle_claim(
+		    e->ctx, table, policy, claim, sink->status, copy, body);
+	else if (out->kind == ENTRY_NOT_RUN)
+		rc = pb_release_claim(e->ctx, table, policy, claim);
+	else
+		rc = pb_abandon_claim(e->ctx, table, policy, claim);
+	if (rc != PB_OK)
+		pb_log_error(e->ctx, PB_WARN, e->req.id);
+}
+
+static int
+replay(struct entry *e, const struct pb_claim *claim)
+{
+	char extra[128];
+
+	snprintf(extra, sizeof(extra),
+	    "X-Request-Id: %s\r\nX-Poplarbeam-Replayed: true\r\n", e->req.id);
+	return pb_send_text(e->conn, claim->status, claim->content_type, extra,
+	    (struct pb_str){claim->answer.data, claim->answer.len});
+}
+
+/* Answers a call whose claim was not granted to this attempt. */
+static int
+answer_repeat(
+    struct entry *e, enum pb_claim_state state, const struct pb_claim *claim)
+{
+	struct pb_node *node = e->server->node;
+
+	pb_count(node->metrics, PB_COUNT_CLAIM_REPEATS, 1);
+	pb_add_event(e->ctx, node->events, "repeat", e->req.id, e->req.chat,
+	    NULL, "claim state %d", (int)state);
+	switch (state) {
+	case PB_CLAIM_DONE:
+		return replay(e, claim);
+	case PB_CLAIM_RUNNING:
+		return entry_refuse(e, VERDICT_IN_PROGRESS, 409, "in_progress",
+		    "an earlier call with this key is in progress", PB_SEC);
+	case PB_CLAIM_MISMATCH:
+		return entry_refuse(e, VERDICT_INVALID, 422, "key_reused",
+		    "this key was used for a different request", 0);
+	case PB_CLAIM_UNKNOWN:
+		return refuse_unknown(e, "claim_unknown");
+	default:
+		pb_count(node->metrics, PB_COUNT_NOT_RUN, 1);
+		return entry_refuse(e, VERDICT_NOT_RUN, 503,
+		    "claim_unavailable",
+		    "the call could not be recorded and did not run", PB_SEC);
+	}
+}
+
+static int
+run_claimed(struct entry *e, struct caller_sink *sink)
+{
+	struct pb_node *node = e->server->node;
+	struct pb_claim_policy policy = {
+	    .send_window_us = e->settings->claim_send_us,
+	    .running_us = RUNNING_LIMIT,
+	    .retention_us = e->settings->claim_retention_us,
+	    .router = node->boot.instance};
+	struct entry_outcome out = {0};
+	enum pb_claim_state state;
+	struct pb_claim claim;
+	int rc;
+
+	memset(&claim, 0, sizeof(claim));
+	state = pb_take_claim(e->ctx, node->table, &policy, e->account->name,
+	    e->key, e->req.fingerprint, e->req.id,
+	    pb_now(e->ctx) + e->req.wait_us, &claim);
+	if (state != PB_CLAIM_MINE) {
+		rc = answer_repeat(e, state, &claim);
+		pb_clear_claim(&claim);
+		return rc;
+	}
+	pb_count(node->metrics, PB_COUNT_CLAIMS, 1);
+	if (e->req.wait_us > policy.send_window_us / 2)
+		e->req.wait_us = policy.send_window_us / 2;
+	entry_attempts(e, sink, &claim, &policy, &out);
+	record(e, &policy, &claim, sink, &out);
+	rc = conclude(e, sink, &out);
+	pb_clear_claim(&claim);
+	return rc;
+}
+
+int
+entry_run(struct entry *e)
+{
+	struct entry_outcome out = {0};
+	struct caller_sink sink;
+	int rc;
+
+	caller_sink_init(&sink, e);
+	if (e->key != NULL) {
+		rc = run_claimed(e, &sink);
+	} else {
+		entry_attempts(e, &sink, NULL, NULL, &out);
+		rc = conclude(e, &sink, &out);
+	}
+	caller_sink_clear(&sink);
+	return rc;
+}
--- /dev/null
+++ b/source/caller/caller-run.c
@@ -0,0 +1,237 @@
+#include "caller-internal.h"
+
+#include "poplarbeam/relay.h"
+
+#include <string.h>
+
+#define TRIES_MAX 6 /* attempts that reached an owner */
+#define MOVES_MAX 40 /* attempts that found no owner, or the wrong one */
+#define MOVE_DELAY (50 * PB_MSEC) /* views agree again within seconds */
+#define CELLS_TRIED 2 /* cells that one request is offered to */
+
+/* State of the attempts of one request. */
+struct attempts {
+	struct entry *entry;
+	struct caller_sink *sink;
+	struct entry_outcome *out;
+	struct pb_random rnd;
+	int tries;
+	int moves;
+	int cells;
+	char failed_owner[48];
+};
+
+/* The cell of the service that a chat belongs to, in order of preference. */
+static int
+choose_cell(const struct entry *e, int choice)
+{
+	uint64_t key =
+	    e->req.chat != 0 ? e->req.chat : pb_hash_cstr(e->req.id, 0);
+	const char *region = e->server->node->boot.region;
+	double best = -1, first = 0;
+	int n, pick, at = 0;
+
+	for (pick = 0; pick <= choice; pick++) {
+		best = -1;
+		for (n = 0; n < e->service->cells; n++) {
+			double s = pb_rendezvous_score(
+			    key, pb_cell_id(e->service->name, region, n), 1);
+
+			if (s > best && (pick == 0 || s < first)) {
+				best = s;
+				at = n;
+			}
+		}
+		first = best;
+	}
+	return at;
+}
+
+/* The router to ask: the owner, or the next one when that cannot be reached. */
+static const struct pb_member *
+choose_owner(struct attempts *a, const struct pb_view *view)
+{
+	struct entry *e = a->entry;
+	const char *region = e->server->node->boot.region;
+	uint64_t cell = pb_cell_id(e->service->name, region, e->req.cell);
+	const struct pb_member *o = pb_cell_owner(view, cell, region, 0);
+
+	if (o != NULL && strcmp(o->info.id, a->failed_owner) == 0)
+		return pb_cell_owner(view, cell, region, 1);
+	return o;
+}
+
+static void
+ask_owner(struct attempts *a)
+{
+	struct entry *e = a->entry;
+	struct pb_node *node = e->server->node;
+	struct pb_run_result *run = &a->out->run;
+	struct pb_view *view = pb_node_view(node);
+	const struct pb_member *o = view != NULL ? choose_owner(a, view) : NULL;
+
+	if (o == NULL) {
+		memset(run, 0, sizeof(*run));
+		run->kind = PB_RUN_NOT_RUN;
+		run->reason = PB_REFUSED_NOT_OWNER;
+		run->retry_after_us = PB_SEC;
+		pb_copy_str(run->code, sizeof(run->code), "no_owner");
+	} else if (o->id_hash == node->id_hash) {
+		pb_run_request(
+		    e->ctx, e->server->owner, &e->req, &a->sink->base, run);
+	} else {
+		pb_copy_str(e->req.failed_owner, sizeof(e->req.failed_owner),
+		    a->failed_owner);
+		pb_add_event(e->ctx, node->events, "relayed", e->req.id,
+		    e->req.chat, o->info.id, "%s/%d", e->service->name,
+		    e->req.cell);
+		pb_relay_request(e->ctx, node, o, &e->req, &a->sink->base, run);
+		if (!run->complete && !run->sink_stopped &&
+		    run->owner[0] == '\0' &&
+		    (run->kind == PB_RUN_UNKNOWN ||
+			run->reason == PB_REFUSED_NOT_OWNER ||
+			run->kind == PB_RUN_STARTED))
+			pb_copy_str(a->failed_owner, sizeof(a->failed_owner),
+			    o->info.id);
+	}
+	if (view != NULL)
+		pb_drop_view(e->ctx, view);
+}
+
+/* True when the refusal is about who decides, not about the request. */
+static bool
+should_move(struct attempts *a)
+{
+	const struct pb_run_result *run = &a->out->run;
+	struct entry *e = a->entry;
+
+	if (run->kind != PB_RUN_NOT_RUN || e->req.resume_on[0] != '\0')
+		return false;
+	if (run->reason == PB_REFUSED_QUEUE_FULL &&
+	    a->cells + 1 < CELLS_TRIED && a->cells + 1 < e->service->cells) {
+		e->req.cell = choose_cell(e, ++a->cells);
+		return true;
+	}
+	if (run->reason != PB_REFUSED_NOT_OWNER &&
+	    run->reason != PB_REFUSED_STOPPING)
+		return false;
+	if (a->moves++ >= MOVES_MAX ||
+	    pb_now(e->ctx) + MOVE_DELAY > e->req.deadline_us)
+		return false;
+	e->ctx->clock->ops->sleep(e->ctx->clock, MOVE_DELAY);
+	return true;
+}
+
+static struct pb_attempt
+describe(struct attempts *a)
+{
+	const struct pb_run_result *run = &a->out->run;
+	struct entry *e = a->entry;
+	struct pb_attempt at = {.not_run = run->kind == PB_RUN_NOT_RUN,
+	    .idempotent = e->req.idempotent,
+	    .delivered = a->sink->answer.begun,
+	    .contained = run->reason == PB_REFUSED_CONTAINED,
+	    .tries = a->tries,
+	    .remaining_us = e->req.deadline_us - pb_now(e->ctx)};
+
+	at.resumable = e->service->resume && a->sink->mode == ANSWER_STREAM &&
+	    run->upstream[0] != '\0' && strcmp(run->code, "stream_lost") != 0 &&
+	    run->kind != PB_RUN_NOT_RUN;
+	if (a->tries >= TRIES_MAX) {
+		at.idempotent = false;
+		at.resumable = false;
+	}
+	return at;
+}
+
+/* Prepares to go on with a stream where it broke. */
+static void
+prepare_resume(struct attempts *a)
+{
+	struct entry *e = a->entry;
+	struct pb_node *node = e->server->node;
+
+	pb_copy_str(
+	    e->req.resume_on, sizeof(e->req.resume_on), a->out->run.upstream);
+	e->req.resume_after = a->sink->sse.last_id;
+	pb_reset_sse(&a->sink->sse);
+	pb_count(node->metrics, PB_COUNT_RESUMES, 1);
+	pb_add_event(e->ctx, node->events, "resuming", e->req.id, e->req.chat,
+	    e->req.resume_on, "after event %llu",
+	    (unsigned long long)e->req.resume_after);
+}
+
+static void
+prepare_retry(struct attempts *a)
+{
+	struct entry *e = a->entry;
+
+	e->req.resume_on[0] = '\0';
+	caller_sink_retry(a->sink);
+	pb_count(e->server->node->metrics, PB_COUNT_RETRIES, 1);
+	pb_add_event(e->ctx, e->server->node->events, "retrying", e->req.id,
+	    e->req.chat, a->out->run.upstream, "%s", a->out->run.code);
+	e->ctx->clock->ops->sleep(
+	    e->ctx->clock, pb_retry_delay(a->tries, &a->rnd));
+}
+
+/* Decides what follows an attempt. True when there is another one. */
+static bool
+judge(struct attempts *a)
+{
+	struct entry_outcome *out = a->out;
+	struct pb_attempt at;
+
+	if (caller_sink_whole(a->sink, out->run.complete)) {
+		out->kind = ENTRY_WHOLE;
+		return false;
+	}
+	if (a->sink->answer.broken) {
+		out->kind = ENTRY_GONE;
+		return false;
+	}
+	if (should_move(a))
+		return true;
+	a->tries++;
+	at = describe(a);
+	switch (pb_judge_attempt(a->entry->server->node->retries, &at)) {
+	case PB_RETRY_AGAIN:
+		prepare_retry(a);
+		return true;
+	case PB_RETRY_RESUME:
+		prepare_resume(a);
+		return true;
+	case PB_RETRY_NOT_RUN:
+		out->kind = ENTRY_NOT_RUN;
+		return false;
+	case PB_RETRY_UNKNOWN:
+		out->kind = ENTRY_UNKNOWN;
+		return false;
+	default:
+		out->kind = ENTRY_BROKEN;
+		return false;
+	}
+}
+
+void
+entry_attempts(struct entry *e, struct caller_sink *sink,
+    const struct pb_claim *claim, const struct pb_claim_policy *policy,
+    struct entry_outcome *out)
+{
+	struct attempts a = {.entry = e, .sink = sink, .out = out};
+
+	a.rnd.state = e->req.fingerprint ^ (uint64_t)pb_now(e->ctx);
+	e->req.cell = choose_cell(e, 0);
+	pb_note_first_attempt(e->server->node->retries);
+	do {
+		if (claim != NULL &&
+		    !pb_may_send_claim(e->ctx, policy, claim)) {
+			out->kind = ENTRY_NOT_RUN;
+			out->run.reason = PB_REFUSED_DEADLINE;
+			pb_copy_str(out->run.code, sizeof(out->run.code),
+			    "claim_too_old");
+			return;
+		}
+		ask_owner(&a);
+	} while (judge(&a));
+}
--- /dev/null
+++ b/source/caller/caller-sse.c
@@ -0,0 +1,94 @@
+#include "poplarbeam/caller.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Reads what matters from one line of an event. */
+static void
+read_line(struct pb_sse *sse, const char *line, size_t len)
+{
+	char number[24];
+
+	if (len > 0 && line[len - 1] == '\r')
+		len--;
+	if (len > 3 && memcmp(line, "id:", 3) == 0 &&
+	    len - 3 < sizeof(number)) {
+		memcpy(number, line + 3, len - 3);
+		number[len - 3] = '\0';
+		sse->last_id = strtoull(number, NULL, 10);
+	} else if ((len == 12 && memcmp(line, "data: [DONE]", 12) == 0) ||
+	    (len == 11 && memcmp(line, "data:[DONE]", 11) == 0)) {
+		sse->done = true;
+	}
+}
+
+static void
+read_events(struct pb_sse *sse, const char *data, size_t len)
+{
+	const char *end = data + len;
+
+	while (data < end) {
+		const char *nl = memchr(data, '\n', (size_t)(end - data));
+
+		if (nl == NULL)
+			return;
+		read_line(sse, data, (size_t)(nl - data));
+		data = nl + 1;
+	}
+}
+
+/* Length of the whole events at the start of the buffer. */
+static size_t
+find_end(struct pb_sse *sse)
+{
+	const char *d = sse->partial.data;
+	size_t i, end = 0;
+
+	for (i = sse->scanned; i < sse->partial.len; i++) {
+		if (d[i] != '\n' || i == 0)
+			continue;
+		if (d[i - 1] == '\n' ||
+		    (i >= 2 && d[i - 1] == '\r' && d[i - 2] == '\n'))
+			end = i + 1;
+	}
+	sse->scanned = sse->partial.len;
+	return end;
+}
+
+int
+pb_feed_sse(
+    struct pb_sse *sse, const void *data, size_t len, pb_sse_fn *fn, void *arg)
+{
+	size_t end;
+	int rc;
+
+	if (sse->partial.len + len > PB_SSE_EVENT_MAX)
+		return PB_EPROTO;
+	rc = pb_append_buf(&sse->partial, data, len);
+	if (rc != PB_OK)
+		return rc;
+	end = find_end(sse);
+	if (end == 0)
+		return PB_OK;
+	read_events(sse, sse->partial.data, end);
+	rc = fn(arg, sse->partial.data, end) == 0 ? PB_OK : PB_EABORTED;
+	memmove(
+	    sse->partial.data, sse->partial.data + end, sse->partial.len - end);
+	sse->partial.len -= end;
+	sse->scanned = sse->partial.len;
+	return rc;
+}
+
+void
+pb_reset_sse(struct pb_sse *sse)
+{
+	sse->partial.len = 0;
+	sse->scanned = 0;
+}
+
+void
+pb_clear_sse(struct pb_sse *sse)
+{
+	pb_clear_buf(&sse->partial);
+	memset(sse, 0, sizeof(*sse));
+}
--- /dev/null
+++ b/source/node/node-state.c
@@ -0,0 +1,124 @@
+#include "poplarbeam/node.h"
+
+#include <stdlib.h>
+#include <urcu-bp.h>
+
+#define EVENTS_CAP 16384
+#define IDLE_CONNECTIONS 64 /* kept open per peer */
+#define RETRY_BURST 20
+
+struct pb_node *
+pb_new_node(struct pb_context *ctx, const struct pb_boot *boot)
+{
+	struct pb_node *node = calloc(1, sizeof(*node));
+
+	if (node == NULL)
+		return NULL;
+	node->clock = ctx->clock;
+	node->log = ctx->log;
+	node->boot = *boot;
+	node->id_hash = pb_hash_cstr(boot->instance, 0);
+	node->incarnation = (uint64_t)pb_wall(ctx);
+	node->client = pb_new_client(ctx, IDLE_CONNECTIONS);
+	node->events = pb_new_events(ctx, EVENTS_CAP);
+	node->metrics = pb_new_metrics(ctx);
+	node->retries = pb_new_retry_budget(ctx, 0.1, RETRY_BURST);
+	atomic_init(&node->next_id, 1);
+	if (node->client == NULL || node->events == NULL ||
+	    node->metrics == NULL || node->retries == NULL) {
+		pb_drop_node(ctx, node);
+		return NULL;
+	}
+	return node;
+}
+
+void
+pb_drop_node(struct pb_context *ctx, struct pb_node *node)
+{
+	if (node == NULL)
+		return;
+	if (node->settings != NULL)
+		pb_drop_settings(ctx, node->settings);
+	if (node->view != NULL)
+		pb_drop_view(ctx, node->view);
+	if (node->table != NULL)
+		node->table->ops->drop(ctx, node->table);
+	if (node->objects != NULL)
+		node->objects->ops->drop(ctx, node->objects);
+	if (node->instances != NULL)
+		node->instances->ops->drop(ctx, node->instances);
+	pb_drop_client(ctx, node->client);
+	pb_drop_events(ctx, node->events);
+	pb_drop_metrics(ctx, node->metrics);
+	pb_drop_retry_budget(ctx, node->retries);
+	free(node);
+}
+
+void
+pb_tell_evidence(struct pb_context *ctx, struct pb_node *node, uint64_t id_hash,
+    uint64_t incarnation, enum pb_evidence evidence)
+{
+	if (node->note_evidence != NULL)
+		node->note_evidence(
+		    ctx, node->evidence_arg, id_hash, incarnation, evidence);
+}
+
+struct pb_context
+pb_node_context(struct pb_node *node)
+{
+	struct pb_context ctx = {.clock = node->clock, .log = node->log};
+
+	return ctx;
+}
+
+struct pb_settings *
+pb_node_settings(struct pb_node *node)
+{
+	struct pb_settings *s;
+
+	rcu_read_lock();
+	s = rcu_dereference(node->settings);
+	if (s != NULL)
+		pb_keep_settings(s);
+	rcu_read_unlock();
+	return s;
+}
+
+struct pb_view *
+pb_node_view(struct pb_node *node)
+{
+	struct pb_view *v;
+
+	rcu_read_lock();
+	v = rcu_dereference(node->view);
+	if (v != NULL)
+		pb_keep_view(v);
+	rcu_read_unlock();
+	return v;
+}
+
+void
+pb_set_node_settings(
+    struct pb_context *ctx, struct pb_node *node, struct pb_settings *settings)
+{
+	struct pb_settings *old = rcu_xchg_pointer(&node->settings, settings);
+
+	/* A reader may be between loading the pointer and its reference. */
+	synchronize_rcu();
+	if (old != NULL)
+		pb_drop_settings(ctx, old);
+	pb_set_gauge(
+	    node->metrics, PB_GAUGE_REVISION, (int64_t)settings->revision);
+}
+
+void
+pb_set_node_view(
+    struct pb_context *ctx, struct pb_node *node, struct pb_view *view)
+{
+	struct pb_view *old = rcu_xchg_pointer(&node->view, view);
+
+	synchronize_rcu();
+	if (old != NULL)
+		pb_drop_view(ctx, old);
+	pb_set_gauge(node->metrics, PB_GAUGE_MEMBERS, (int64_t)view->count);
+}
--- /dev/null
+++ b/source/owner/owner-run.c
@@ -0,0 +1,442 @@
+#include "owner-internal.h"
+
+#include "poplarbeam/server.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <strings.h>
+
+#define TRIES_MAX 3 /* upstreams tried before giving up */
+#define NOT_RUN_HEADER "X-Not-Run" /* an upstream's word that it did not */
+#define CANCEL_LIMIT (500 * PB_MSEC) /* for telling an engine to cancel */
+#define RESUME_BODY_MAX 48
+
+/* Passes an upstream's answer on, unless it says that it did not run. */
+struct run_sink {
+	struct pb_sink base;
+	struct pb_sink *inner;
+	bool resuming;
+	bool headed;
+	bool not_run;
+	bool leaving;
+	bool lost; /* the stream to resume is unknown there */
+};
+
+static int
+run_head(struct pb_sink *sink, int status, const struct pb_header *headers,
+    size_t count)
+{
+	struct run_sink *s = (struct run_sink *)sink;
+	struct pb_str word = pb_find_header(headers, count, NOT_RUN_HEADER);
+
+	if (status == 503 && word.data != NULL) {
+		s->not_run = true;
+		s->leaving = pb_str_equal_c(word, "leaving");
+		return -1;
+	}
+	if (s->resuming && status != 200) {
+		s->lost = true;
+		return -1;
+	}
+	s->headed = true;
+	return s->inner->ops->head(s->inner, status, headers, count);
+}
+
+static int
+run_body(struct pb_sink *sink, const void *data, size_t len)
+{
+	struct run_sink *s = (struct run_sink *)sink;
+
+	return s->inner->ops->body(s->inner, data, len);
+}
+
+static void
+init_run_sink(struct run_sink *s, struct pb_sink *inner, bool resuming)
+{
+	static const struct pb_sink_ops ops = {run_head, run_body};
+
+	memset(s, 0, sizeof(*s));
+	s->base.ops = &ops;
+	s->inner = inner;
+	s->resuming = resuming;
+}
+
+/* What one run needs from first to last. */
+struct run {
+	struct pb_owner *owner;
+	const struct pb_request *req;
+	const struct pb_settings *settings;
+	const struct pb_service *service;
+	struct cell_entry *entry;
+	struct ticket ticket;
+	struct pb_run_result *result;
+};
+
+static void
+refuse(struct run *run, enum pb_refusal reason, int64_t retry_after_us)
+{
+	run->result->kind = PB_RUN_NOT_RUN;
+	run->result->reason = reason;
+	run->result->retry_after_us = retry_after_us;
+	pb_copy_str(run->result->code, sizeof(run->result->code),
+	    pb_refusal_name(reason));
+}
+
+static void
+link_ticket(struct cell_entry *e, struct ticket *t)
+{
+	struct ticket **head = &e->tickets[t->id % TICKET_BUCKETS];
+
+	t->next = *head;
+	*head = t;
+}
+
+static void
+unlink_ticket(struct cell_entry *e, struct ticket *t)
+{
+	struct ticket **at = &e->tickets[t->id % TICKET_BUCKETS];
+
+	while (*at != NULL && *at != t)
+		at = &(*at)->next;
+	if (*at == t)
+		*at = t->next;
+}
+
+static struct pb_work
+describe_work(const struct run *run, uint64_t id, uint64_t avoid)
+{
+	const struct pb_request *req = run->req;
+	const struct pb_account *a =
+	    pb_find_account(run->settings, req->account);
+	struct pb_work w = {.id = id,
+	    .chat = req->chat,
+	    .account = pb_hash_cstr(req->account, 0),
+	    .weight = a != NULL ? a->weight : 1,
+	    .rank = req->rank,
+	    .work = req->work,
+	    .bytes = (uint32_t)req->body.len + 1024,
+	    .wait_us = req->wait_us,
+	    .fingerprint = req->fingerprint,
+	    .avoid_upstream = avoid};
+
+	if (a != NULL)
+		w.limits = a->limits;
+	if (req->resume_on[0] != '\0')
+		w.resume_on = pb_hash_cstr(req->resume_on, 0);
+	return w;
+}
+
+/* Submits the work and waits for the cell's decision. */
+static void
+wait_for_turn(struct pb_context *ctx, struct run *run, uint64_t avoid)
+{
+	struct cell_entry *e = run->entry;
+	struct ticket *t = &run->ticket;
+	struct pb_work w;
+	int rc;
+
+	t->id = atomic_fetch_add(&run->owner->node->next_id, 1);
+	t->decided = false;
+	w = describe_work(run, t->id, avoid);
+	pthread_mutex_lock(&e->lock);
+	link_ticket(e, t);
+	rc = pb_submit_work(&e->ctx, e->cell, &w);
+	while (rc == PB_OK && !t->decided)
+		pthread_cond_wait(&t->wake, &e->lock);
+	unlink_ticket(e, t);
+	pthread_mutex_unlock(&e->lock);
+	if (!t->decided) {
+		t->action.kind = PB_ACTION_REFUSE;
+		t->action.reason = PB_REFUSED_QUEUE_FULL;
+		t->action.retry_after_us = PB_SEC;
+	}
+	(void)ctx;
+}
+
+static void
+finish(struct run *run, enum pb_outcome outcome)
+{
+	struct cell_entry *e = run->entry;
+
+	pthread_mutex_lock(&e->lock);
+	pb_finish_work(
+	    &e->ctx, e->cell, run->ticket.id, outcome, run->req->work);
+	pthread_mutex_unlock(&e->lock);
+}
+
+static bool
+keep_header(struct pb_str name)
+{
+	static const char *const dropped[] = {"Host", "Content-Length",
+	    "Authorization", "X-Request-Id", "X-Priority"};
+	size_t i;
+
+	if (pb_is_hop_header(name))
+		return false;
+	if (name.len >= 5 && strncasecmp(name.data, "X-Pb-", 5) == 0)
+		return false;
+	for (i = 0; i < sizeof(dropped) / sizeof(dropped[0]); i++) {
+		if (name.len == strlen(dropped[i]) &&
+		    strncasecmp(name.data, dropped[i], name.len) == 0)
+			return false;
+	}
+	return true;
+}
+
+static size_t
+build_headers(const struct pb_request *req, const char *priority,
+    struct pb_header *out, size_t cap)
+{
+	size_t i, n = 0;
+
+	out[n++] = (struct pb_header){
+	    pb_str_from("X-Request-Id"), pb_str_from(req->id)};
+	out[n++] = (struct pb_header){
+	    pb_str_from("X-Priority"), pb_str_from(priority)};
+	for (i = 0; i < req->header_count && n < cap; i++) {
+		if (keep_header(req->headers[i].name))
+			out[n++] = req->headers[i];
+	}
+	return n;
+}
+
+/* Tells an engine that nobody reads a stream any more. */
+static void
+cancel_stream(
+    struct pb_context *ctx, struct run *run, const struct pb_member *up)
+{
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	char target[96];
+	struct pb_call call = {.peer = up->info.id,
+	    .address = up->info.address,
+	    .method = "DELETE",
+	    .target = target,
+	    .connect_us = CANCEL_LIMIT,
+	    .total_us = CANCEL_LIMIT};
+
+	if (run->service->kind != PB_SERVICE_MODEL)
+		return;
+	snprintf(target, sizeof(target), "/v1/streams/%s", run->req->id);
+	pb_init_buffer_sink(&sink, 4096);
+	pb_call_http(ctx, run->owner->node->client, &call, &sink.base, &res);
+	pb_clear_buf(&sink.body);
+}
+
+static int
+call_upstream(struct pb_context *ctx, struct run *run,
+    const struct pb_member *up, struct run_sink *sink,
+    struct pb_call_result *res)
+{
+	const struct pb_request *req = run->req;
+	struct pb_header headers[PB_CALL_HEADERS_MAX];
+	char priority[8], target[96], body[RESUME_BODY_MAX];
+	struct pb_call call = {.peer = up->info.id,
+	    .address = up->info.address,
+	    .method = req->method,
+	    .target = req->target,
+	    .headers = headers,
+	    .body = req->body,
+	    .fresh = !req->idempotent,
+	    .connect_us = run->service->connect_us,
+	    .idle_us = run->service->idle_us,
+	    .total_us = req->deadline_us - pb_now(ctx)};
+
+	if (call.total_us < PB_MSEC)
+		call.total_us = PB_MSEC;
+	snprintf(priority, sizeof(priority), "%d", req->rank);
+	call.header_count =
+	    build_headers(req, priority, headers, PB_CALL_HEADERS_MAX);
+	if (sink->resuming) {
+		snprintf(
+		    target, sizeof(target), "/v1/streams/%s/resume", req->id);
+		snprintf(body, sizeof(body), "{\"after\":%" PRIu64 "}",
+		    req->resume_after);
+		call.method = "POST";
+		call.target = target;
+		call.body = pb_str_from(body);
+	}
+	return pb_call_http(
+	    ctx, run->owner->node->client, &call, &sink->base, res);
+}
+
+static enum pb_outcome
+outcome_of(
+    const struct run_sink *sink, const struct pb_call_result *res, int rc)
+{
+	if (sink->not_run || !res->sent)
+		return PB_OUTCOME_NOT_RUN;
+	if (rc == PB_OK)
+		return res->status >= 500 ? PB_OUTCOME_FAILED : PB_OUTCOME_DONE;
+	if (res->sink_stopped && !sink->lost)
+		return PB_OUTCOME_CANCELLED;
+	return rc == PB_EUNKNOWN ? PB_OUTCOME_CRASHED : PB_OUTCOME_FAILED;
+}
+
+static void
+tell_evidence(struct pb_context *ctx, struct run *run,
+    const struct pb_member *up, const struct run_sink *sink,
+    const struct pb_call_result *res, int rc)
+{
+	enum pb_evidence ev = PB_SAW_ANSWER;
+
+	if (sink->leaving)
+		ev = PB_SAW_LEAVING;
+	else if (rc == PB_EUNAVAIL || rc == PB_EUNKNOWN)
+		ev = PB_SAW_REFUSAL;
+	else if (rc == PB_ETIMEDOUT)
+		ev = PB_SAW_TIMEOUT;
+	else if (res->status == 0)
+		return;
+	pb_tell_evidence(
+	    ctx, run->owner->node, up->id_hash, up->info.incarnation, ev);
+}
+
+/* Makes the call. True when the work may be placed on another upstream. */
+static bool
+run_on(struct pb_context *ctx, struct run *run, const struct pb_member *up,
+    struct pb_sink *inner)
+{
+	struct pb_node *node = run->owner->node;
+	struct pb_run_result *result = run->result;
+	struct pb_call_result res;
+	enum pb_outcome outcome;
+	struct run_sink sink;
+	int rc;
+
+	pb_observe_wait(
+	    node->metrics, run->req->rank, run->ticket.action.waited_us);
+	pb_add_event(ctx, node->events, "started", run->req->id, run->req->chat,
+	    up->info.id, "%s/%d rank %d work %u waited %" PRId64 " ms",
+	    run->req->service, run->req->cell, run->req->rank, run->req->work,
+	    run->ticket.action.waited_us / PB_MSEC);
+	pb_copy_str(result->upstream, sizeof(result->upstream), up->info.id);
+	init_run_sink(&sink, inner, run->req->resume_on[0] != '\0');
+	rc = call_upstream(ctx, run, up, &sink, &res);
+	outcome = outcome_of(&sink, &res, rc);
+	finish(run, outcome);
+	tell_evidence(ctx, run, up, &sink, &res, rc);
+	pb_add_event(ctx, node->events, "ended", run->req->id, run->req->chat,
+	    up->info.id, "status %d %s, %" PRIu64 " bytes", res.status,
+	    rc == PB_OK ? "whole" : pb_code_name(rc), res.received);
+	if (rc != PB_OK)
+		pb_log_error(ctx, PB_WARN, run->req->id);
+	result->complete = rc == PB_OK;
+	result->sink_stopped = outcome == PB_OUTCOME_CANCELLED;
+	if (result->sink_stopped)
+		cancel_stream(ctx, run, up);
+	if (outcome == PB_OUTCOME_NOT_RUN) {
+		refuse(run, PB_REFUSED_NO_UPSTREAM, PB_SEC);
+		return !sink.resuming;
+	}
+	result->kind = sink.headed ? PB_RUN_STARTED : PB_RUN_UNKNOWN;
+	pb_copy_str(result->code, sizeof(result->code),
+	    sink.lost ? "stream_lost" : pb_code_name(rc));
+	return false;
+}
+
+/* One turn in the queue and one call. True when another try makes sense. */
+static bool
+try_once(struct pb_context *ctx, struct run *run, struct pb_sink *sink,
+    uint64_t *avoid)
+{
+	struct pb_node *node = run->owner->node;
+	const struct pb_member *up;
+	struct pb_view *view;
+	bool again;
+
+	wait_for_turn(ctx, run, *avoid);
+	if (run->ticket.action.kind == PB_ACTION_REFUSE) {
+		refuse(run, run->ticket.action.reason,
+		    run->ticket.action.retry_after_us);
+		pb_add_event(ctx, node->events, "refused", run->req->id,
+		    run->req->chat, NULL, "%s/%d rank %d %s", run->req->service,
+		    run->req->cell, run->req->rank, run->result->code);
+		return false;
+	}
+	view = pb_node_view(node);
+	up = pb_find_member(view, run->ticket.action.upstream);
+	*avoid = run->ticket.action.upstream;
+	if (up == NULL) {
+		finish(run, PB_OUTCOME_NOT_RUN);
+		refuse(run, PB_REFUSED_NO_UPSTREAM, PB_SEC);
+		again = true;
+	} else {
+		again = run_on(ctx, run, up, sink);
+	}
+	pb_drop_view(ctx, view);
+	return again;
+}
+
+static bool
+check_owned(struct pb_context *ctx, struct run *run)
+{
+	struct pb_view *view = pb_node_view(run->owner->node);
+	const char *region = run->owner->node->boot.region;
+	const struct pb_member *o, *next;
+	bool owned;
+
+	if (view == NULL)
+		return false;
+	pthread_mutex_lock(&run->entry->lock);
+	pb_sync_entry(run->owner, run->entry, run->settings, view);
+	owned = run->entry->owned;
+	pthread_mutex_unlock(&run->entry->lock);
+	o = pb_cell_owner(view, run->entry->id, region, 0);
+	if (o != NULL)
+		pb_copy_str(
+		    run->result->owner, sizeof(run->result->owner), o->info.id);
+	/*
+	 * The sender could not reach the owner. The next router in order takes
+	 * the work at once instead of waiting until all views agree.
+	 */
+	next = pb_cell_owner(view, run->entry->id, region, 1);
+	if (!owned && o != NULL && next != NULL &&
+	    next->id_hash == run->owner->node->id_hash &&
+	    strcmp(o->info.id, run->req->failed_owner) == 0)
+		owned = true;
+	pb_drop_view(ctx, view);
+	return owned;
+}
+
+void
+pb_run_request(struct pb_context *ctx, struct pb_owner *owner,
+    const struct pb_request *req, struct pb_sink *sink,
+    struct pb_run_result *result)
+{
+	struct pb_settings *settings = pb_node_settings(owner->node);
+	struct run run = {
+	    .owner = owner, .req = req, .settings = settings, .result = result};
+	uint64_t avoid = 0;
+	int tries;
+
+	memset(result, 0, sizeof(*result));
+	refuse(&run, PB_REFUSED_NO_UPSTREAM, PB_SEC);
+	if (settings == NULL)
+		return;
+	run.service = pb_find_service(settings, req->service);
+	if (run.service == NULL || req->cell >= run.service->cells)
+		goto done;
+	run.entry = pb_find_entry(ctx, owner, settings, run.service, req->cell);
+	if (run.entry == NULL)
+		goto done;
+	if (!check_owned(ctx, &run)) {
+		refuse(&run, PB_REFUSED_NOT_OWNER, 100 * PB_MSEC);
+		pb_count(owner->node->metrics, PB_COUNT_NOT_OWNER, 1);
+		goto done;
+	}
+	pb_count(owner->node->metrics, PB_COUNT_OWNED, 1);
+	pb_add_gauge(owner->node->metrics, PB_GAUGE_OWNED_IN_FLIGHT, 1);
+	pthread_cond_init(&run.ticket.wake, NULL);
+	for (tries = 0; tries < TRIES_MAX; tries++) {
+		if (tries > 0 && !pb_take_retry(owner->node->retries))
+			break;
+		if (!try_once(ctx, &run, sink, &avoid))
+			break;
+		pb_count(owner->node->metrics, PB_COUNT_RETRIES, 1);
+	}
+	pthread_cond_destroy(&run.ticket.wake);
+	pb_add_gauge(owner->node->metrics, PB_GAUGE_OWNED_IN_FLIGHT, -1);
+done:
+	pb_drop_settings(ctx, settings);
+}
--- /dev/null
+++ b/source/upstream/upstream-sink.c
@@ -0,0 +1,50 @@
+#include "poplarbeam/upstream.h"
+
+#include <string.h>
+#include <strings.h>
+
+struct pb_str
+pb_find_header(const struct pb_header *headers, size_t count, const char *name)
+{
+	size_t i, len = strlen(name);
+
+	for (i = 0; i < count; i++) {
+		if (headers[i].name.len == len &&
+		    strncasecmp(headers[i].name.data, name, len) == 0)
+			return headers[i].value;
+	}
+	return PB_STR_NONE;
+}
+
+static int
+buffer_head(struct pb_sink *sink, int status, const struct pb_header *headers,
+    size_t count)
+{
+	struct pb_buffer_sink *b = (struct pb_buffer_sink *)sink;
+	struct pb_str type = pb_find_header(headers, count, "Content-Type");
+
+	b->status = status;
+	if (type.len > 0 && type.len < sizeof(b->content_type))
+		memcpy(b->content_type, type.data, type.len);
+	return 0;
+}
+
+static int
+buffer_body(struct pb_sink *sink, const void *data, size_t len)
+{
+	struct pb_buffer_sink *b = (struct pb_buffer_sink *)sink;
+
+	if (b->body.len + len > b->limit)
+		return PB_EINVAL;
+	return pb_append_buf(&b->body, data, len);
+}
+
+void
+pb_init_buffer_sink(struct pb_buffer_sink *sink, size_t limit)
+{
+	static const struct pb_sink_ops ops = {buffer_head, buffer_body};
+
+	memset(sink, 0, sizeof(*sink));
+	sink->base.ops = &ops;
+	sink->limit = limit;
+}
--- a/standin/pb-engine.c
+++ b/standin/pb-engine.c
@@ -12,6 +12,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #define STREAMS_MAX 4096
@@ -501,7 +502,7 @@
 	pthread_mutex_init(&e->lock, NULL);
 	pthread_cond_init(&e->free_place, NULL);
 	e->id = id->sval[0];
-	e->incarnation = (uint64_t)(serve_now() / PB_MSEC);
+	e->incarnation = (uint64_t)time(NULL);
 	e->places = places->count ? places->ival[0] : 42;
 	e->token_us = token->count ? token->ival[0] : 5000;
 	e->prefill_rate = prefill->count ? prefill->ival[0] : 20000;
