--- a/include/poplarbeam/settings.h
+++ b/include/poplarbeam/settings.h
@@ -11,9 +11,11 @@
  * value names file, line, path and unit.
  */
 
+#define PB_SHA256_LEN 32 /* bytes */
+#define PB_FLEET_TEAM "fleet" /* name of the fleet's subtree in the store */
+
 enum pb_service_kind {
-	PB_SERVICE_MODEL, /* OpenAI-compatible chat completions, by model name
-			   */
+	PB_SERVICE_MODEL, /* OpenAI-compatible chats, by model name */
 	PB_SERVICE_PLAIN /* any HTTP call, by path prefix */
 };
 
@@ -23,6 +25,7 @@
 	enum pb_service_kind kind;
 	char prefix[64]; /* plain services: path prefix, "/booking" */
 	int cells; /* cells of the service, at least 1 */
+	int upstreams; /* expected number, from which cells follows */
 	double bound;
 	double inner_limit;
 	uint32_t floor_work;
@@ -44,7 +47,13 @@
 	char name[48];
 	char team[48];
 	uint64_t id; /* pb_hash_cstr(name, 0) */
-	uint64_t key_hash; /* hash of the bearer key */
+	/*
+	 * With key: pb_hash of the key. With key_sha: pb_hash of the SHA-256
+	 * digest of the key, because the key itself is not in the settings.
+	 */
+	uint64_t key_hash;
+	bool key_by_sha;
+	uint8_t key_sha[PB_SHA256_LEN]; /* digest of the bearer key */
 	double weight;
 	int best_rank; /* index of the most urgent rank it may use */
 	int default_rank;
@@ -56,12 +65,17 @@
 	int refs; /* atomic */
 	int rank_count;
 	struct pb_rank_policy rank[PB_RANKS_MAX];
+	int default_rank; /* of accounts that name none */
 	int service_count;
 	struct pb_service *services;
 	int account_count;
 	struct pb_account *accounts; /* sorted by key_hash */
+	/* Accounts sorted by id; NULL in a snapshot that was built by hand. */
+	const struct pb_account **account_by_id;
 	double retry_share; /* retries per first attempt */
+	double retry_burst; /* retries saved up at most */
 	int64_t containment_us;
+	uint32_t strikes; /* crashes until containment */
 	int64_t takeover_us;
 	int64_t poll_us;
 	int64_t freshness_us;
@@ -81,10 +95,20 @@
 
 /* Collects "file:line: path: message" lines. */
 struct pb_settings_report {
-	struct pb_buf lines;
-	int count;
+	struct pb_buf lines; /* at most PB_REPORT_LINES_MAX lines */
+	int count; /* faults found, also those beyond the last line */
 };
 
+#define PB_REPORT_LINES_MAX 200
+
+void pb_clear_report(struct pb_settings_report *report);
+
+/* True for 1 to 47 letters, digits, ".", "_" and "-", not "." first. */
+bool pb_is_name(struct pb_str text);
+
+/* SHA-256 (FIPS 180-4), for account keys. */
+void pb_sha256(const void *data, size_t len, uint8_t out[PB_SHA256_LEN]);
+
 /*
  * Parses and checks documents and merges them into a new snapshot with one
  * reference, owned by the caller. NULL when any check failed; the report then
@@ -105,6 +129,8 @@
     const struct pb_settings *settings, struct pb_str key);
 const struct pb_account *pb_find_account(
     const struct pb_settings *settings, const char *name);
+const struct pb_account *pb_find_account_by_id(
+    const struct pb_settings *settings, uint64_t id);
 /* Index of the rank, or -1. */
 int pb_find_rank(const struct pb_settings *settings, const char *name);
 
--- /dev/null
+++ b/source/settings/settings-field.c
@@ -0,0 +1,328 @@
+#include "settings-private.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NAME_CAP 48 /* bytes, with the terminating NUL */
+/* More digits than a double holds exactly are a mistake, not a value. */
+#define DIGITS_MAX 15
+
+struct unit {
+	const char *name;
+	double factor;
+};
+
+/* Largest first, so that a bound is printed in the largest fitting unit. */
+static const struct unit duration_units[] = {{"d", 86400e6}, {"h", 3600e6},
+    {"min", 60e6}, {"s", 1e6}, {"ms", 1e3}, {"us", 1}, {NULL, 0}};
+static const struct unit size_units[] = {{"GiB", 1073741824.0},
+    {"MiB", 1048576.0}, {"KiB", 1024.0}, {"GB", 1e9}, {"MB", 1e6}, {"KB", 1e3},
+    {"B", 1}, {NULL, 0}};
+static const struct unit rate_units[] = {
+    {"MB/s", 1e6}, {"KB/s", 1e3}, {"KiB/s", 1024}, {"B/s", 1}, {NULL, 0}};
+static const struct unit share_units[] = {{"%", 0.01}, {NULL, 0}};
+static const struct unit no_units[] = {{"", 1}, {NULL, 0}};
+
+struct kind {
+	const char *what;
+	const struct unit *units;
+	double scale; /* stored value = value in base units * scale */
+};
+
+static struct kind
+kind_of(enum pb_field_type type)
+{
+	switch (type) {
+	case PB_FIELD_SHARE:
+		return (struct kind){"a share such as \"20%\"", share_units, 1};
+	case PB_FIELD_DURATION:
+		return (struct kind){"a duration such as \"3s\" or \"250ms\"",
+		    duration_units, 1};
+	case PB_FIELD_SECONDS:
+		return (struct kind){"a duration such as \"3s\" or \"250ms\"",
+		    duration_units, 1e-6};
+	case PB_FIELD_SIZE:
+		return (struct kind){
+		    "a size such as \"1MiB\" or \"64KiB\"", size_units, 1};
+	case PB_FIELD_RATE:
+		return (struct kind){
+		    "a data rate such as \"2KB/s\"", rate_units, 1};
+	case PB_FIELD_INT:
+		return (struct kind){
+		    "a whole number without a unit", no_units, 1};
+	default:
+		return (struct kind){"a number without a unit", no_units, 1};
+	}
+}
+
+/* Splits "1.5s" into 1.5 and "s"; false when it does not start so. */
+static bool
+split_number(struct pb_str text, double *value, const char **unit)
+{
+	const char *p = text.data, *end = text.data + text.len;
+	double scale = 1;
+	int digits = 0;
+
+	*value = 0;
+	for (; p < end && isdigit((unsigned char)*p); p++, digits++)
+		*value = *value * 10 + (*p - '0');
+	if (digits == 0)
+		return false;
+	if (p + 1 < end && *p == '.' && isdigit((unsigned char)p[1])) {
+		for (p++; p < end && isdigit((unsigned char)*p); p++) {
+			*value = *value * 10 + (*p - '0');
+			scale *= 10;
+			digits++;
+		}
+	}
+	*value /= scale;
+	while (p < end && *p == ' ')
+		p++;
+	*unit = p;
+	return digits <= DIGITS_MAX;
+}
+
+static bool
+parse_quantity(struct pb_str text, const struct kind *kind, double *value)
+{
+	const struct unit *u;
+	const char *name = NULL;
+
+	if (!split_number(text, value, &name))
+		return false;
+	for (u = kind->units; u->name != NULL; u++) {
+		struct pb_str given = {
+		    name, (size_t)(text.data + text.len - name)};
+
+		if (pb_str_equal_c(given, u->name)) {
+			*value = *value * u->factor * kind->scale;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Writes a bound in the largest unit that gives a whole number. */
+static void
+format_bound(char *dst, size_t cap, double value, const struct kind *kind)
+{
+	double base = value / kind->scale;
+	const struct unit *u = kind->units;
+
+	if (value == 0) {
+		for (; u[1].name != NULL; u++)
+			continue;
+	} else {
+		for (; u[1].name != NULL; u++) {
+			double n = base / u->factor;
+
+			if (n >= 1 && n == (double)(int64_t)n)
+				break;
+		}
+	}
+	snprintf(dst, cap, "%.10g%s", base / u->factor, u->name);
+}
+
+static void
+report_range(struct pb_check *c, const struct pb_node *node, const char *path,
+    const struct pb_field *f)
+{
+	struct kind kind = kind_of(f->type);
+	char low[40], high[40];
+
+	format_bound(low, sizeof(low), f->min, &kind);
+	format_bound(high, sizeof(high), f->max, &kind);
+	pb_report_fault(c, node->line, path,
+	    "expected %s, from %s to %s, found \"%s\"", kind.what, low, high,
+	    pb_show_text(node->text).text);
+}
+
+static void
+store_quantity(void *p, enum pb_field_type type, double value)
+{
+	switch (type) {
+	case PB_FIELD_INT:
+		*(uint32_t *)p = (uint32_t)value;
+		break;
+	case PB_FIELD_DURATION:
+		*(int64_t *)p = (int64_t)(value + 0.5);
+		break;
+	case PB_FIELD_SIZE:
+		*(uint64_t *)p = (uint64_t)(value + 0.5);
+		break;
+	default:
+		*(double *)p = value;
+		break;
+	}
+}
+
+static void
+read_quantity(struct pb_check *c, const struct pb_node *node, const char *path,
+    const struct pb_field *f, void *p)
+{
+	struct kind kind = kind_of(f->type);
+	double value = 0;
+
+	if (!parse_quantity(node->text, &kind, &value) || value < f->min ||
+	    value > f->max ||
+	    (f->type == PB_FIELD_INT && value != (double)(int64_t)value)) {
+		report_range(c, node, path, f);
+		return;
+	}
+	store_quantity(p, f->type, value);
+}
+
+bool
+pb_is_name(struct pb_str text)
+{
+	size_t i;
+
+	if (text.len == 0 || text.len >= NAME_CAP || text.data[0] == '.')
+		return false;
+	for (i = 0; i < text.len; i++) {
+		unsigned char ch = (unsigned char)text.data[i];
+
+		if (ch >= 0x80 || (!isalnum(ch) && strchr("._-", ch) == NULL) ||
+		    ch == '\0')
+			return false;
+	}
+	return true;
+}
+
+static void
+read_name(
+    struct pb_check *c, const struct pb_node *node, const char *path, char *dst)
+{
+	if (!pb_is_name(node->text)) {
+		pb_report_fault(c, node->line, path,
+		    "expected a name of 1 to %d letters, digits, \".\", "
+		    "\"_\" and \"-\", found \"%s\"",
+		    NAME_CAP - 1, pb_show_text(node->text).text);
+		return;
+	}
+	pb_copy_str(dst, NAME_CAP, node->text.data);
+}
+
+static void
+read_bool(
+    struct pb_check *c, const struct pb_node *node, const char *path, bool *dst)
+{
+	bool yes = pb_str_equal_c(node->text, "true");
+
+	if (!yes && !pb_str_equal_c(node->text, "false")) {
+		pb_report_fault(c, node->line, path,
+		    "expected true or false, found \"%s\"",
+		    pb_show_text(node->text).text);
+		return;
+	}
+	*dst = yes;
+}
+
+static void
+read_value(struct pb_check *c, const struct pb_node *node, const char *path,
+    const struct pb_field *f, void *base)
+{
+	void *p = (char *)base + f->offset;
+
+	if (f->type == PB_FIELD_NODE)
+		return;
+	if (node->kind != PB_NODE_SCALAR) {
+		pb_report_fault(c, node->line, path,
+		    "expected a single value, found a %s",
+		    node->kind == PB_NODE_LIST ? "list" : "map");
+		return;
+	}
+	switch (f->type) {
+	case PB_FIELD_NAME:
+		read_name(c, node, path, p);
+		break;
+	case PB_FIELD_BOOL:
+		read_bool(c, node, path, p);
+		break;
+	default:
+		read_quantity(c, node, path, f, p);
+		break;
+	}
+}
+
+static size_t
+find_field(const struct pb_field *fields, size_t count, struct pb_str key)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (pb_str_equal_c(key, fields[i].key))
+			break;
+	}
+	return i;
+}
+
+bool
+pb_read_fields(struct pb_check *c, const struct pb_node *node, const char *path,
+    const struct pb_field *fields, size_t count, void *base,
+    const struct pb_node **found)
+{
+	const struct pb_node *n;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		found[i] = NULL;
+	if (node->kind != PB_NODE_MAP) {
+		pb_report_fault(
+		    c, node->line, path, "expected a map of keys and values");
+		return false;
+	}
+	for (n = node->first; n != NULL; n = n->next) {
+		char sub[160];
+
+		i = find_field(fields, count, n->key);
+		snprintf(sub, sizeof(sub), "%s%s%s", path,
+		    *path != '\0' ? "." : "", pb_show_text(n->key).text);
+		if (i == count) {
+			pb_report_fault(c, n->line, sub, "unknown key");
+			continue;
+		}
+		if (found[i] != NULL) {
+			pb_report_fault(c, n->line, sub,
+			    "duplicate key, first given in line %d",
+			    found[i]->line);
+			continue;
+		}
+		found[i] = n;
+		read_value(c, n, sub, &fields[i], base);
+	}
+	return true;
+}
+
+bool
+pb_check_list(struct pb_check *c, const struct pb_node *node, const char *path)
+{
+	if (node->kind == PB_NODE_LIST)
+		return true;
+	pb_report_fault(c, node->line, path, "expected a list");
+	return false;
+}
+
+int
+pb_read_rank(struct pb_check *c, const struct pb_node *node, const char *path)
+{
+	struct pb_settings *s = c->settings;
+	char names[PB_RANKS_MAX * 26] = "";
+	size_t len = 0;
+	int i;
+
+	if (node->kind == PB_NODE_SCALAR && pb_is_name(node->text)) {
+		i = pb_find_rank(s, node->text.data);
+		if (i >= 0)
+			return i;
+	}
+	for (i = 0; i < s->rank_count; i++) {
+		len += (size_t)snprintf(names + len, sizeof(names) - len,
+		    "%s%s", i > 0 ? ", " : "", s->rank[i].name);
+	}
+	pb_report_fault(c, node->line, path,
+	    "expected the name of a rank (%s), found \"%s\"", names,
+	    pb_show_text(node->text).text);
+	return -1;
+}
