Add members: merged view of instances, ejection and cell ownership

Cause: routers need one view of all instances although the platform's list lags, routers see different things and reports arrive late and out of order.

Change: - (incarnation, leaving) of an instance only grows in lexicographic order, so the order of evidence does not matter and leaving cannot revert. A suspect router keeps its cells, so that one lost datagram does not move them. A router that hears from no other router trusts the list instead of the silence; refused connections still count. This was chosen over an ejection share for routers, which would keep the cells of a dead router in a fleet of two or three. - A view is shared until something changes.

--- a/include/poplarbeam/members.h
+++ b/include/poplarbeam/members.h
@@ -33,7 +33,7 @@
 	int64_t dead_us; /* further silence until it counts as down */
 	int64_t damp_min_us; /* first wait after a failure, 1 s */
 	int64_t damp_max_us; /* longest wait, 60 s */
-	double eject_share; /* largest share of a service ejected */
+	double eject_share; /* largest share of a service in a region ejected */
 	int fail_threshold; /* consecutive failures until ejected */
 };
 
@@ -43,7 +43,10 @@
     struct pb_context *ctx, const struct pb_members_policy *policy);
 void pb_drop_members(struct pb_context *ctx, struct pb_members *members);
 
-/* The platform's list; an instance missing from it for long is removed. */
+/*
+ * The platform's list. An instance that is missing from it is removed after
+ * 5 s, or after up to 60 s while there are signs of life.
+ */
 int pb_apply_instance_list(struct pb_context *ctx, struct pb_members *members,
     const struct pb_instance *list, size_t count);
 
@@ -55,18 +58,27 @@
 	PB_SAW_OVERLOAD
 };
 
-/* What this router saw itself. */
+/*
+ * What this router saw itself. incarnation 0 stands for the current one;
+ * evidence about an older incarnation is ignored.
+ */
 void pb_note_evidence(struct pb_context *ctx, struct pb_members *members,
     uint64_t id_hash, uint64_t incarnation, enum pb_evidence evidence);
-/* A load report of an upstream. */
+/* A load report of an upstream; changes below 5% are not published. */
 void pb_note_capacity(struct pb_context *ctx, struct pb_members *members,
     uint64_t id_hash, double capacity, double throttle);
-/* What a peer reported about an instance. */
+/*
+ * What a peer reported about an instance. A router's statement about itself
+ * (reporter == id_hash) is a sign of life of that router.
+ */
 void pb_note_peer_health(struct pb_context *ctx, struct pb_members *members,
     uint64_t id_hash, uint64_t incarnation, enum pb_health health,
     uint64_t reporter);
 
-/* Moves timers on; returns true when the view changed. */
+/*
+ * Moves timers on; returns true when the view changed since the last call.
+ * Evidence takes effect at the next call of this or of pb_new_view.
+ */
 bool pb_tick_members(struct pb_context *ctx, struct pb_members *members);
 
 /*
@@ -75,7 +87,7 @@
  */
 struct pb_view {
 	uint64_t version;
-	int refs; /* atomic */
+	_Atomic int refs;
 	size_t count;
 	struct pb_member *members;
 };
@@ -86,7 +98,7 @@
 const struct pb_member *pb_find_member(
     const struct pb_view *view, uint64_t id_hash);
 
-/* True when the upstream may get new work. */
+/* True for an upstream that may get new work; false for routers. */
 bool pb_member_takes_work(const struct pb_member *member);
 
 /* Identity of cell number n of a service in a region. */
@@ -94,8 +106,9 @@
 /* The cell of a service that an upstream belongs to. */
 int pb_cell_of_upstream(uint64_t upstream, int cells);
 /*
- * Owner of a cell: the live, not leaving router of the region with the highest
- * rendezvous score; NULL when there is none. choice 0 is the owner, 1 the next.
+ * Owner of a cell: the live or suspect, not leaving router of the region with
+ * the highest rendezvous score; NULL when there is none. choice 0 is the owner,
+ * 1 the next. The result lives as long as the view.
  */
 const struct pb_member *pb_cell_owner(
     const struct pb_view *view, uint64_t cell, const char *region, int choice);
--- /dev/null
+++ b/tests/test-members.c
@@ -0,0 +1,469 @@
+#include "poplarbeam/members.h"
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+
+static const struct pb_members_policy policy = {.self = "r0",
+    .region = "east",
+    .suspect_us = 2 * PB_SEC,
+    .dead_us = 2 * PB_SEC,
+    .damp_min_us = PB_SEC,
+    .damp_max_us = 8 * PB_SEC,
+    .eject_share = 0.5,
+    .fail_threshold = 3};
+
+static struct pb_instance
+make(const char *prefix, int n, uint64_t incarnation)
+{
+	struct pb_instance in = {.incarnation = incarnation};
+
+	in.role = *prefix == 'r' ? PB_ROLE_ROUTER : PB_ROLE_UPSTREAM;
+	snprintf(in.id, sizeof(in.id), "%s%d", prefix, n);
+	pb_copy_str(in.service, sizeof(in.service), "chat");
+	pb_copy_str(in.region, sizeof(in.region), "east");
+	return in;
+}
+
+static uint64_t
+id_of(const char *prefix, int n)
+{
+	return pb_hash_cstr(make(prefix, n, 0).id, 0);
+}
+
+/* Routers r0.. and upstreams e0.., all with incarnation 1. */
+static struct pb_members *
+fleet(int routers, int upstreams)
+{
+	struct pb_members *m = pb_new_members(ctx, &policy);
+	struct pb_instance list[200];
+	int i, n = 0;
+
+	for (i = 0; i < routers; i++)
+		list[n++] = make("r", i, 1);
+	for (i = 0; i < upstreams; i++)
+		list[n++] = make("e", i, 1);
+	CU_ASSERT_EQUAL(pb_apply_instance_list(ctx, m, list, (size_t)n), PB_OK);
+	return m;
+}
+
+/* Health of one instance now; -1 when it is not in the view. */
+static int
+health(struct pb_context *c, struct pb_members *m, uint64_t id)
+{
+	const struct pb_member *it;
+	struct pb_view *view;
+	int h;
+
+	pb_tick_members(c, m);
+	view = pb_new_view(c, m);
+	it = pb_find_member(view, id);
+	h = it != NULL ? (int)it->health : -1;
+	pb_drop_view(c, view);
+	return h;
+}
+
+static void
+fail(struct pb_members *m, uint64_t id, int times)
+{
+	while (times-- > 0)
+		pb_note_evidence(ctx, m, id, 1, PB_SAW_REFUSAL);
+}
+
+/* Answers until the upstream is back; the microseconds that it took. */
+static int64_t
+recover(struct pb_members *m, uint64_t id)
+{
+	int64_t start = clk.now_us;
+
+	while (clk.now_us - start < 100 * PB_SEC) {
+		pb_note_evidence(ctx, m, id, 1, PB_SAW_ANSWER);
+		if (health(ctx, m, id) == PB_HEALTH_LIVE)
+			break;
+		pb_advance_clock(&clk, 100 * PB_MSEC);
+	}
+	return clk.now_us - start;
+}
+
+/* Guards against a leaving upstream that a later sign brings back. */
+static void
+test_leaving_sticky(void)
+{
+	struct pb_members *m = fleet(1, 2);
+	struct pb_instance list[2] = {make("e", 0, 1), make("e", 1, 1)};
+	uint64_t e0 = id_of("e", 0);
+
+	pb_note_peer_health(ctx, m, e0, 1, PB_HEALTH_LEAVING, 77);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LEAVING);
+	pb_note_evidence(ctx, m, e0, 1, PB_SAW_ANSWER);
+	pb_note_peer_health(ctx, m, e0, 1, PB_HEALTH_LIVE, 78);
+	pb_apply_instance_list(ctx, m, list, 2);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LEAVING);
+	/* Removed from the list, then listed again by a stale copy. */
+	pb_apply_instance_list(ctx, m, &list[1], 1);
+	pb_advance_clock(&clk, 30 * PB_SEC);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), -1);
+	pb_apply_instance_list(ctx, m, list, 2);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LEAVING);
+	list[0].incarnation = 2;
+	pb_apply_instance_list(ctx, m, list, 2);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LIVE);
+	pb_note_evidence(ctx, m, e0, 1, PB_SAW_LEAVING);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LIVE);
+	pb_drop_members(ctx, m);
+}
+
+/* Guards against an evidence that is lost because it precedes the list. */
+static void
+test_leaving_before_list(void)
+{
+	struct pb_members *m = pb_new_members(ctx, &policy);
+	struct pb_instance e0 = make("e", 0, 4);
+
+	pb_note_evidence(ctx, m, id_of("e", 0), 4, PB_SAW_LEAVING);
+	CU_ASSERT_EQUAL(health(ctx, m, id_of("e", 0)), -1);
+	pb_apply_instance_list(ctx, m, &e0, 1);
+	CU_ASSERT_EQUAL(health(ctx, m, id_of("e", 0)), PB_HEALTH_LEAVING);
+	pb_drop_members(ctx, m);
+}
+
+/* Guards against damping that does not double, is unbounded or never decays. */
+static void
+test_damping(void)
+{
+	struct pb_members *m = fleet(1, 4);
+	static const int64_t want[] = {1, 2, 4, 8, 8};
+	uint64_t e0 = id_of("e", 0);
+	size_t i;
+
+	for (i = 0; i < 5; i++) {
+		fail(m, e0, 2);
+		CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LIVE);
+		fail(m, e0, 1);
+		CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_DOWN);
+		CU_ASSERT_EQUAL(recover(m, e0), want[i] * PB_SEC);
+	}
+	/* A failure while it waits starts the wait again. */
+	fail(m, e0, 3);
+	health(ctx, m, e0);
+	pb_note_evidence(ctx, m, e0, 1, PB_SAW_ANSWER);
+	pb_advance_clock(&clk, 7 * PB_SEC);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_DOWN);
+	fail(m, e0, 1);
+	CU_ASSERT_EQUAL(recover(m, e0), 8 * PB_SEC);
+	pb_advance_clock(&clk, 33 * PB_SEC);
+	fail(m, e0, 3);
+	health(ctx, m, e0);
+	CU_ASSERT_EQUAL(recover(m, e0), PB_SEC);
+	pb_drop_members(ctx, m);
+}
+
+/* Guards against an observer at fault that ejects a whole service. */
+static void
+test_eject_share(void)
+{
+	struct pb_members *m = fleet(1, 7);
+	int i, down = 0;
+
+	for (i = 0; i < 7; i++) {
+		fail(m, id_of("e", i), 3);
+		pb_advance_clock(&clk, 10 * PB_MSEC);
+	}
+	for (i = 0; i < 7; i++) {
+		int h = health(ctx, m, id_of("e", i));
+
+		/* 3 of 7: those that failed last. */
+		CU_ASSERT_EQUAL(h, i >= 4 ? PB_HEALTH_DOWN : PB_HEALTH_LIVE);
+		down += h == PB_HEALTH_DOWN;
+	}
+	CU_ASSERT_EQUAL(down, 3);
+	pb_drop_members(ctx, m);
+}
+
+/* Guards against one wrong peer that ejects an upstream that answers here. */
+static void
+test_peer_reports(void)
+{
+	struct pb_members *m = fleet(1, 4);
+	uint64_t e0 = id_of("e", 0), e1 = id_of("e", 1);
+
+	pb_advance_clock(&clk, 10 * PB_SEC);
+	pb_note_evidence(ctx, m, e0, 1, PB_SAW_ANSWER);
+	pb_advance_clock(&clk, 500 * PB_MSEC);
+	pb_note_peer_health(ctx, m, e0, 1, PB_HEALTH_DOWN, 71);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LIVE);
+	pb_note_peer_health(ctx, m, e0, 1, PB_HEALTH_DOWN, 72);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_DOWN);
+	pb_note_peer_health(ctx, m, e0, 1, PB_HEALTH_LIVE, 72);
+	pb_note_evidence(ctx, m, e0, 1, PB_SAW_ANSWER);
+	CU_ASSERT_EQUAL(recover(m, e0), PB_SEC);
+	/* Nothing known here: one report is enough, and it expires. */
+	pb_note_peer_health(ctx, m, e1, 1, PB_HEALTH_DOWN, 71);
+	CU_ASSERT_EQUAL(health(ctx, m, e1), PB_HEALTH_DOWN);
+	pb_advance_clock(&clk, 15 * PB_SEC);
+	CU_ASSERT_EQUAL(health(ctx, m, e1), PB_HEALTH_DOWN);
+	pb_advance_clock(&clk, 1 * PB_SEC);
+	CU_ASSERT_EQUAL(health(ctx, m, e1), PB_HEALTH_LIVE);
+	pb_drop_members(ctx, m);
+}
+
+/* Guards against a router that stays in use, or is dropped by a silence. */
+static void
+test_router_silence(void)
+{
+	struct pb_members *m = fleet(4, 0);
+	uint64_t r1 = id_of("r", 1), r2 = id_of("r", 2), r3 = id_of("r", 3);
+
+	pb_advance_clock(&clk, 2 * PB_SEC);
+	pb_note_evidence(ctx, m, r1, 1, PB_SAW_ANSWER);
+	pb_note_peer_health(ctx, m, r2, 1, PB_HEALTH_LIVE, r2);
+	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_LIVE);
+	CU_ASSERT_EQUAL(health(ctx, m, r2), PB_HEALTH_LIVE);
+	CU_ASSERT_EQUAL(health(ctx, m, r3), PB_HEALTH_SUSPECT);
+	pb_advance_clock(&clk, 2 * PB_SEC);
+	CU_ASSERT_EQUAL(health(ctx, m, r2), PB_HEALTH_SUSPECT);
+	CU_ASSERT_EQUAL(health(ctx, m, r3), PB_HEALTH_DOWN);
+	/* Cut off from all: the list is trusted, but a refusal is not. */
+	pb_advance_clock(&clk, 9 * PB_SEC);
+	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_SUSPECT);
+	CU_ASSERT_EQUAL(health(ctx, m, id_of("r", 0)), PB_HEALTH_LIVE);
+	fail(m, r1, 3);
+	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_DOWN);
+	pb_note_evidence(ctx, m, r1, 1, PB_SAW_ANSWER);
+	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_LIVE);
+	pb_drop_members(ctx, m);
+}
+
+/* Guards against an instance that a faulty list removes while it answers. */
+static void
+test_missing_from_list(void)
+{
+	struct pb_members *m = fleet(1, 2);
+	uint64_t e0 = id_of("e", 0);
+	int i;
+
+	pb_apply_instance_list(ctx, m, NULL, 0);
+	for (i = 0; i < 59; i++) {
+		CU_ASSERT_EQUAL(health(ctx, m, e0), PB_HEALTH_LIVE);
+		pb_advance_clock(&clk, PB_SEC);
+		pb_note_evidence(ctx, m, e0, 1, PB_SAW_ANSWER);
+	}
+	CU_ASSERT_EQUAL(health(ctx, m, id_of("e", 1)), -1);
+	pb_advance_clock(&clk, PB_SEC);
+	CU_ASSERT_EQUAL(health(ctx, m, e0), -1);
+	CU_ASSERT_EQUAL(health(ctx, m, id_of("r", 0)), PB_HEALTH_LIVE);
+	pb_drop_members(ctx, m);
+}
+
+/* Guards against cells that move between routers which did not change. */
+static void
+test_cell_owner(void)
+{
+	struct pb_members *m = fleet(9, 0);
+	struct pb_view *before, *after;
+	int n, moved = 0, owned = 0;
+
+	before = pb_new_view(ctx, m);
+	pb_note_evidence(ctx, m, id_of("r", 4), 1, PB_SAW_LEAVING);
+	after = pb_new_view(ctx, m);
+	CU_ASSERT_NOT_EQUAL(before->version, after->version);
+	for (n = 0; n < 200; n++) {
+		uint64_t cell = pb_cell_id("chat", "east", n);
+		const struct pb_member *a, *b, *next;
+
+		a = pb_cell_owner(before, cell, "east", 0);
+		next = pb_cell_owner(before, cell, "east", 1);
+		b = pb_cell_owner(after, cell, "east", 0);
+		CU_ASSERT_NOT_EQUAL(b->id_hash, id_of("r", 4));
+		moved += a->id_hash != b->id_hash;
+		owned += a->id_hash == id_of("r", 4);
+		if (a->id_hash == id_of("r", 4))
+			CU_ASSERT_EQUAL(b->id_hash, next->id_hash);
+	}
+	CU_ASSERT(owned > 5);
+	CU_ASSERT_EQUAL(moved, owned);
+	CU_ASSERT_PTR_NULL(pb_cell_owner(after, 1, "west", 0));
+	CU_ASSERT_PTR_NULL(pb_cell_owner(after, 1, "east", 8));
+	pb_drop_view(ctx, before);
+	pb_drop_view(ctx, after);
+	pb_drop_members(ctx, m);
+}
+
+#define ROUTERS 6
+#define UPSTREAMS 12
+#define STEPS 400
+
+/* One piece of evidence that every router receives at some time. */
+struct item {
+	int upstream;
+	uint64_t incarnation;
+	int what; /* 0 leaving, 1 answer, 2 down, 3 live, 4 refusal, 5 list */
+	uint64_t reporter;
+};
+
+struct model {
+	uint64_t incarnation;
+	bool leaving;
+};
+
+static void
+deliver(struct pb_context *c, struct pb_members *m, struct model *model,
+    const struct item *it)
+{
+	uint64_t id = id_of("e", it->upstream);
+	struct model *seen;
+	struct pb_instance list[UPSTREAMS];
+	int i;
+
+	for (i = 0; i < UPSTREAMS; i++)
+		list[i] = make("e", i, it->what == 5 ? it->incarnation : 9);
+	if (it->what == 0)
+		pb_note_peer_health(
+		    c, m, id, it->incarnation, PB_HEALTH_LEAVING, it->reporter);
+	else if (it->what <= 3)
+		pb_note_peer_health(c, m, id, it->incarnation,
+		    it->what == 2 ? PB_HEALTH_DOWN : PB_HEALTH_LIVE,
+		    it->reporter);
+	else if (it->what == 4)
+		pb_note_evidence(c, m, id, it->incarnation, PB_SAW_REFUSAL);
+	else
+		pb_apply_instance_list(c, m, list, UPSTREAMS);
+	for (i = 0; i < UPSTREAMS; i++) {
+		bool hit = it->what == 5 || i == it->upstream;
+
+		seen = &model[i];
+		if (hit && it->incarnation > seen->incarnation)
+			*seen = (struct model){it->incarnation, false};
+		if (i == it->upstream && it->what == 0 &&
+		    it->incarnation == seen->incarnation)
+			seen->leaving = true;
+	}
+}
+
+/* Every router receives the same items in its own order and time. */
+static void
+play(struct pb_random *rnd, struct pb_context *c, struct pb_members *m,
+    const struct item *items)
+{
+	struct model model[UPSTREAMS] = {0};
+	int order[STEPS] = {0}, i, j;
+
+	for (i = 0; i < STEPS; i++) {
+		j = (int)(pb_next_random(rnd) % (uint64_t)(i + 1));
+		order[i] = order[j];
+		order[j] = i;
+	}
+	for (i = 0; i < STEPS; i++) {
+		deliver(c, m, model, &items[order[i]]);
+		pb_advance_clock((struct pb_manual_clock *)c->clock,
+		    (int64_t)(pb_next_random(rnd) % (200 * PB_MSEC)));
+		for (j = 0; j < UPSTREAMS; j++) {
+			int h = health(c, m, id_of("e", j));
+
+			if (h >= 0)
+				CU_ASSERT_EQUAL(
+				    h == PB_HEALTH_LEAVING, model[j].leaving);
+		}
+	}
+}
+
+/* The end of a run: a current list, and every upstream answers for long. */
+static struct pb_view *
+settle(struct pb_context *c, struct pb_members *m)
+{
+	struct pb_instance list[UPSTREAMS];
+	int i, s;
+
+	for (i = 0; i < UPSTREAMS; i++)
+		list[i] = make("e", i, 1);
+	pb_apply_instance_list(c, m, list, UPSTREAMS);
+	for (s = 0; s < 60; s++) {
+		for (i = 0; i < UPSTREAMS; i++)
+			pb_note_evidence(c, m, id_of("e", i), 0, PB_SAW_ANSWER);
+		pb_tick_members(c, m);
+		pb_advance_clock((struct pb_manual_clock *)c->clock, PB_SEC);
+	}
+	return pb_new_view(c, m);
+}
+
+/*
+ * Guards against views that depend on the order or the delay of the same
+ * evidence, and against leaving that reverts on the way.
+ */
+static void
+test_convergence(void)
+{
+	struct pb_random rnd = {20260401};
+	struct pb_view *first, *view;
+	struct item items[STEPS];
+	int run, i, k, left;
+
+	for (run = 0; run < 20; run++) {
+		for (i = 0; i < STEPS; i++)
+			items[i] = (struct item){
+			    .upstream = (int)(pb_next_random(&rnd) % UPSTREAMS),
+			    .incarnation = 1 + pb_next_random(&rnd) % 4,
+			    .what = (int)(pb_next_random(&rnd) % 6),
+			    .reporter = 1 + pb_next_random(&rnd) % 5};
+		first = NULL;
+		for (k = 0; k < ROUTERS; k++) {
+			struct pb_manual_clock own;
+			struct pb_context *c = pb_new_context(&own.base, NULL);
+			struct pb_members *m = pb_new_members(c, &policy);
+
+			pb_init_manual_clock(&own, 0);
+			pb_advance_clock(&own, (k + 1) * 1000 * PB_SEC);
+			play(&rnd, c, m, items);
+			view = settle(c, m);
+			if (first == NULL)
+				first = pb_keep_view(view);
+			CU_ASSERT_EQUAL(view->count, UPSTREAMS);
+			CU_ASSERT_EQUAL(view->count, first->count);
+			for (i = 0, left = 0; i < UPSTREAMS; i++) {
+				struct pb_member *a = &view->members[i];
+				struct pb_member *b = &first->members[i];
+
+				CU_ASSERT_EQUAL(a->id_hash, b->id_hash);
+				CU_ASSERT_EQUAL(a->health, b->health);
+				CU_ASSERT_EQUAL(
+				    a->info.incarnation, b->info.incarnation);
+				left += a->health == PB_HEALTH_LEAVING;
+			}
+			CU_ASSERT(left > 0);
+			pb_drop_view(c, view);
+			pb_drop_members(c, m);
+			pb_drop_context(c);
+		}
+		pb_drop_view(ctx, first);
+	}
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	pb_advance_clock(&clk, 100 * PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("members", NULL, NULL);
+	CU_add_test(s, "leaving is sticky", test_leaving_sticky);
+	CU_add_test(s, "leaving before the list", test_leaving_before_list);
+	CU_add_test(s, "damping", test_damping);
+	CU_add_test(s, "ejection share", test_eject_share);
+	CU_add_test(s, "peer reports", test_peer_reports);
+	CU_add_test(s, "router silence", test_router_silence);
+	CU_add_test(s, "missing from the list", test_missing_from_list);
+	CU_add_test(s, "cell owner", test_cell_owner);
+	CU_add_test(s, "convergence", test_convergence);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
