Add platform adapters and the platform stand-in

Cause: routers need the table service, the object store and the instance list, and tests need a platform whose faults they control.

Change: source/platform implements the three ports over libcurl with a pool of handles. Reads reuse connections. Writes always use a fresh connection, because libcurl resends a request when a reused connection turns out to be broken, which could apply a commit twice. An error after the connection was made is PB_EUNKNOWN for a write; 429 and 503 and a failed connection say that nothing was written. Responses are bounded (row 4 MiB, page and list 16 MiB). A malformed entry of the instance list is left out and logged, so that it cannot hide the others. standin/pb-platform keeps rows, objects and instances in memory, checks versions, enforces 400 rows written and 2,000 reads a second with token buckets, and injects faults per surface. Writes are counted per row and not per commit, so that batching does not get round the limit. tests/scripts/platform.sh compares its answers with expected output.

The adapters have no unit test yet; it follows.

Conclusion: other modules can be written and run against both.

--- a/include/poplarbeam/platform.h
+++ b/include/poplarbeam/platform.h
@@ -41,16 +41,25 @@
 struct pb_table;
 
 struct pb_table_ops {
-	/* PB_OK, PB_ENOENT, PB_EUNAVAIL, PB_EBUSY (rate), PB_ETIMEDOUT. */
+	/*
+	 * PB_OK, PB_ENOENT, PB_EUNAVAIL, PB_EBUSY (rate), PB_ETIMEDOUT,
+	 * PB_EPROTO. Neither a read nor a list changes anything.
+	 */
 	int (*get)(struct pb_context *ctx, struct pb_table *table,
 	    const char *key, struct pb_row *row);
 	/*
-	 * PB_OK, PB_ECONFLICT, PB_EBUSY (rate), PB_EUNAVAIL when nothing was
-	 * written for certain, PB_EUNKNOWN when the answer was lost.
+	 * Applies all puts and deletes if every check holds, else nothing.
+	 * PB_OK, or one of the following. Nothing was written for certain:
+	 * PB_ECONFLICT (a check failed), PB_EBUSY (rate), PB_EUNAVAIL,
+	 * PB_EINVAL, PB_ENOMEM. It may have been written, now or later:
+	 * PB_EUNKNOWN.
 	 */
 	int (*commit)(struct pb_context *ctx, struct pb_table *table,
 	    const struct pb_table_commit *commit);
-	/* Calls fn for rows with the prefix after the key "after". */
+	/*
+	 * Calls fn for at most limit rows with the prefix, in key order, after
+	 * the key "after". Returns PB_OK, or an error as for get.
+	 */
 	int (*list)(struct pb_context *ctx, struct pb_table *table,
 	    const char *prefix, const char *after, int limit,
 	    void (*fn)(void *arg, const struct pb_row *row), void *arg);
@@ -100,6 +109,11 @@
 struct pb_objects;
 
 struct pb_objects_ops {
+	/*
+	 * get appends to out. PB_OK, PB_ENOENT, PB_EBUSY, PB_EUNAVAIL,
+	 * PB_ETIMEDOUT, PB_EPROTO. put returns PB_EUNKNOWN when the answer was
+	 * lost; it replaces the whole object, so it may be repeated.
+	 */
 	int (*get)(struct pb_context *ctx, struct pb_objects *objects,
 	    const char *key, struct pb_buf *out);
 	int (*put)(struct pb_context *ctx, struct pb_objects *objects,
@@ -111,7 +125,11 @@
 	const struct pb_objects_ops *ops;
 };
 
-/* HTTP adapters. base is "http://host:port"; timeout in microseconds. */
+/*
+ * HTTP adapters. base is "http://host:port"; timeout in microseconds for one
+ * whole call. Reads reuse connections; writes use fresh ones. Dropped by the
+ * port's own drop. NULL when memory runs out.
+ */
 struct pb_table *pb_new_http_table(
     struct pb_context *ctx, const char *base, int64_t timeout_us);
 struct pb_objects *pb_new_http_objects(
--- /dev/null
+++ b/source/platform/platform-lists.c
@@ -0,0 +1,239 @@
+#include "platform-http.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "poplarbeam/platform.h"
+
+#define INSTANCES_MAX ((size_t)16 << 20) /* bytes of the whole list */
+#define OBJECT_MAX ((size_t)16 << 20) /* bytes of one object */
+#define PUT_REPLY_MAX ((size_t)64 << 10) /* bytes of the response to a put */
+
+struct http_instances {
+	struct pb_instances base;
+	struct pb_http_pool *pool;
+};
+
+struct http_objects {
+	struct pb_objects base;
+	struct pb_http_pool *pool;
+};
+
+/* An absent member is empty; false when it is no string or does not fit. */
+static bool
+copy_member(const json_t *src, const char *name, char *dst, size_t cap)
+{
+	const json_t *member = json_object_get(src, name);
+
+	if (member == NULL || json_is_null(member)) {
+		dst[0] = '\0';
+		return true;
+	}
+	if (!json_is_string(member) || json_string_length(member) >= cap)
+		return false;
+	pb_copy_str(dst, cap, json_string_value(member));
+	return true;
+}
+
+static bool
+read_role(const json_t *src, struct pb_instance *in)
+{
+	const char *role = json_string_value(json_object_get(src, "role"));
+	const char *state = json_string_value(json_object_get(src, "state"));
+
+	if (role == NULL || state == NULL)
+		return false;
+	if (strcmp(role, "router") == 0)
+		in->role = PB_ROLE_ROUTER;
+	else if (strcmp(role, "upstream") == 0)
+		in->role = PB_ROLE_UPSTREAM;
+	else
+		return false;
+	in->leaving = strcmp(state, "leaving") == 0;
+	return in->leaving || strcmp(state, "live") == 0;
+}
+
+static bool
+read_instance(const json_t *src, struct pb_instance *in)
+{
+	json_int_t incarnation =
+	    json_integer_value(json_object_get(src, "incarnation"));
+
+	memset(in, 0, sizeof(*in));
+	if (incarnation < 0)
+		return false;
+	in->incarnation = (uint64_t)incarnation;
+	return read_role(src, in) &&
+	    copy_member(src, "id", in->id, sizeof(in->id)) &&
+	    copy_member(src, "service", in->service, sizeof(in->service)) &&
+	    copy_member(src, "region", in->region, sizeof(in->region)) &&
+	    copy_member(src, "domain", in->domain, sizeof(in->domain)) &&
+	    copy_member(src, "address", in->address, sizeof(in->address)) &&
+	    copy_member(src, "peer", in->peer, sizeof(in->peer)) &&
+	    copy_member(src, "rpc", in->rpc, sizeof(in->rpc)) &&
+	    copy_member(src, "admin", in->admin, sizeof(in->admin)) &&
+	    in->id[0] != '\0' && in->address[0] != '\0';
+}
+
+/* Entries that are malformed are left out, so that one cannot hide the rest. */
+static int
+read_instances(struct pb_context *ctx, const char *peer, const json_t *items,
+    struct pb_instance **out, size_t *count)
+{
+	size_t i, total = json_array_size(items);
+	json_t *item;
+
+	*out = calloc(total > 0 ? total : 1, sizeof(**out));
+	if (*out == NULL)
+		return pb_set_error(
+		    ctx, PB_ENOMEM, "instances", peer, "no memory");
+	json_array_foreach(items, i, item)
+	{
+		if (read_instance(item, &(*out)[*count]))
+			(*count)++;
+		else
+			pb_log(ctx, PB_WARN, "instances", peer, NULL,
+			    "entry %zu of the instance list is malformed", i);
+	}
+	return PB_OK;
+}
+
+static int
+fetch_instances(struct pb_context *ctx, struct pb_instances *list,
+    struct pb_instance **out, size_t *count)
+{
+	struct http_instances *l = (struct http_instances *)list;
+	struct pb_http_call call = {"GET", "/instances/v1", PB_STR_NONE,
+	    INSTANCES_MAX, false, "instances"};
+	struct pb_http_reply reply = {0};
+	json_t *root = NULL, *items;
+	int rc;
+
+	*out = NULL;
+	*count = 0;
+	if ((rc = pb_call_http(ctx, l->pool, &call, &reply)) != PB_OK ||
+	    (rc = pb_check_http_status(ctx, l->pool, &call, &reply)) != PB_OK)
+		goto out;
+	root = pb_parse_http_body(ctx, l->pool, &call, &reply);
+	items = json_object_get(root, "instances");
+	if (json_is_array(items))
+		rc = read_instances(
+		    ctx, pb_http_peer(l->pool), items, out, count);
+	else
+		rc = pb_set_error(ctx, PB_EPROTO, call.step,
+		    pb_http_peer(l->pool), "%s: no instances", call.path);
+out:
+	json_decref(root);
+	pb_clear_buf(&reply.body);
+	return rc;
+}
+
+static void
+drop_instances(struct pb_context *ctx, struct pb_instances *list)
+{
+	struct http_instances *l = (struct http_instances *)list;
+
+	if (l == NULL)
+		return;
+	pb_drop_http_pool(ctx, l->pool);
+	free(l);
+}
+
+struct pb_instances *
+pb_new_http_instances(
+    struct pb_context *ctx, const char *base, int64_t timeout_us)
+{
+	static const struct pb_instances_ops ops = {
+	    fetch_instances, drop_instances};
+	struct http_instances *l = calloc(1, sizeof(*l));
+
+	if (l == NULL)
+		return NULL;
+	l->base.ops = &ops;
+	l->pool = pb_new_http_pool(ctx, base, timeout_us);
+	if (l->pool == NULL) {
+		free(l);
+		return NULL;
+	}
+	return &l->base;
+}
+
+static int
+call_object(struct pb_context *ctx, struct pb_objects *objects,
+    struct pb_http_call *call, const char *key, struct pb_http_reply *reply)
+{
+	struct http_objects *o = (struct http_objects *)objects;
+	struct pb_buf path = {0};
+	int rc = PB_ENOMEM;
+
+	if (pb_append_fmt(&path, "/objects/v1/") == PB_OK &&
+	    pb_append_escaped(&path, key, true) == PB_OK) {
+		call->path = path.data;
+		rc = pb_call_http(ctx, o->pool, call, reply);
+		if (rc == PB_OK)
+			rc = pb_check_http_status(ctx, o->pool, call, reply);
+	}
+	pb_clear_buf(&path);
+	return rc;
+}
+
+static int
+get_object(struct pb_context *ctx, struct pb_objects *objects, const char *key,
+    struct pb_buf *out)
+{
+	struct pb_http_call call = {
+	    "GET", NULL, PB_STR_NONE, OBJECT_MAX, false, "object-get"};
+	struct pb_http_reply reply = {0};
+	int rc = call_object(ctx, objects, &call, key, &reply);
+
+	if (rc == PB_OK)
+		rc = pb_append_buf(out, reply.body.data, reply.body.len);
+	pb_clear_buf(&reply.body);
+	return rc;
+}
+
+static int
+put_object(struct pb_context *ctx, struct pb_objects *objects, const char *key,
+    struct pb_str value)
+{
+	struct pb_http_call call = {
+	    "PUT", NULL, value, PUT_REPLY_MAX, true, "object-put"};
+	struct pb_http_reply reply = {0};
+	int rc;
+
+	if (call.body.data == NULL)
+		call.body = pb_str_from("");
+	rc = call_object(ctx, objects, &call, key, &reply);
+	pb_clear_buf(&reply.body);
+	return rc;
+}
+
+static void
+drop_objects(struct pb_context *ctx, struct pb_objects *objects)
+{
+	struct http_objects *o = (struct http_objects *)objects;
+
+	if (o == NULL)
+		return;
+	pb_drop_http_pool(ctx, o->pool);
+	free(o);
+}
+
+struct pb_objects *
+pb_new_http_objects(
+    struct pb_context *ctx, const char *base, int64_t timeout_us)
+{
+	static const struct pb_objects_ops ops = {
+	    get_object, put_object, drop_objects};
+	struct http_objects *o = calloc(1, sizeof(*o));
+
+	if (o == NULL)
+		return NULL;
+	o->base.ops = &ops;
+	o->pool = pb_new_http_pool(ctx, base, timeout_us);
+	if (o->pool == NULL) {
+		free(o);
+		return NULL;
+	}
+	return &o->base;
+}
--- /dev/null
+++ b/standin/lib/platform-control.c
@@ -0,0 +1,162 @@
+#include "platform-server.h"
+
+#include <string.h>
+
+static const char *const surface_names[PLATFORM_SURFACES] = {
+    "table", "objects", "instances"};
+
+/*
+ * Sets the members that are present; false when one has the wrong type. Lost
+ * answers concern commits unless the object store is named.
+ */
+static bool
+set_faults(const json_t *root, struct platform_faults *faults, bool lose_here)
+{
+	const json_t *slow = json_object_get(root, "slow_ms");
+	const json_t *refuse = json_object_get(root, "refuse");
+	const json_t *lose = json_object_get(root, "lose_answers");
+
+	if ((slow != NULL && !json_is_integer(slow)) ||
+	    (refuse != NULL && !json_is_boolean(refuse)) ||
+	    (lose != NULL && !json_is_integer(lose)))
+		return false;
+	if (slow != NULL)
+		faults->slow_ms = (int)json_integer_value(slow);
+	if (refuse != NULL)
+		faults->refuse = json_is_true(refuse);
+	if (lose != NULL && lose_here)
+		faults->lose_answers = (int)json_integer_value(lose);
+	return true;
+}
+
+static int
+post_faults(struct mg_connection *conn, struct platform_server *server)
+{
+	json_t *root = platform_read_json(conn);
+	const char *surface =
+	    json_string_value(json_object_get(root, "surface"));
+	const json_t *lag = json_object_get(root, "lag_ms");
+	bool ok = json_is_object(root) && (lag == NULL || json_is_integer(lag));
+	int i, hits = 0;
+
+	pthread_mutex_lock(&server->lock);
+	for (i = 0; i < PLATFORM_SURFACES && ok; i++) {
+		if (surface != NULL && strcmp(surface, surface_names[i]) != 0)
+			continue;
+		ok = set_faults(root, &server->faults[i],
+		    surface != NULL || i == PLATFORM_TABLE);
+		hits++;
+	}
+	if (ok && lag != NULL)
+		server->lag_ms = (int)json_integer_value(lag);
+	pthread_mutex_unlock(&server->lock);
+	json_decref(root);
+	if (!ok || hits == 0)
+		return platform_send_error(conn, 400, "malformed faults");
+	return platform_send_json(conn, 200, json_object());
+}
+
+static int
+get_stats(struct mg_connection *conn, struct platform_server *server)
+{
+	struct platform_stats s;
+	size_t rows;
+
+	pthread_mutex_lock(&server->lock);
+	s = server->stats;
+	rows = server->store.rows.count;
+	pthread_mutex_unlock(&server->lock);
+	return platform_send_json(conn, 200,
+	    json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
+		(json_int_t)s.reads, "writes", (json_int_t)s.writes,
+		"conflicts", (json_int_t)s.conflicts, "limited",
+		(json_int_t)s.limited, "refused", (json_int_t)s.refused, "lost",
+		(json_int_t)s.lost, "rows", (json_int_t)rows));
+}
+
+int
+platform_handle_control(struct mg_connection *conn, void *arg)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+
+	if (strcmp(ri->local_uri, "/control/stats") == 0 &&
+	    strcmp(ri->request_method, "GET") == 0)
+		return get_stats(conn, arg);
+	if (strcmp(ri->local_uri, "/control/faults") == 0 &&
+	    strcmp(ri->request_method, "POST") == 0)
+		return post_faults(conn, arg);
+	return platform_send_error(conn, 404, "no such control");
+}
+
+static int
+get_instances(struct mg_connection *conn, struct platform_server *server)
+{
+	json_t *list = NULL;
+	int status;
+
+	pthread_mutex_lock(&server->lock);
+	status = platform_admit(
+	    server, PLATFORM_INSTANCES, &server->reads[PLATFORM_INSTANCES], 1);
+	if (status == 0) {
+		server->stats.reads++;
+		list = platform_list_instances(&server->store, platform_now());
+	}
+	pthread_mutex_unlock(&server->lock);
+	platform_delay(server, PLATFORM_INSTANCES);
+	if (status != 0)
+		return platform_send_error(conn, status, "refused");
+	return platform_send_json(conn, 200, list);
+}
+
+static int
+edit_instance(struct mg_connection *conn, struct platform_server *server,
+    const char *id, json_t *entry)
+{
+	bool ok;
+
+	pthread_mutex_lock(&server->lock);
+	ok = platform_edit_instance(&server->store, id, entry,
+	    platform_now() + server->lag_ms * INT64_C(1000));
+	pthread_mutex_unlock(&server->lock);
+	if (!ok)
+		return platform_send_error(conn, 400, "bad id");
+	return platform_send_json(conn, 200, json_object());
+}
+
+/* True when the entry has the members that readers of the list rely on. */
+static bool
+check_entry(const json_t *entry, const char *id)
+{
+	static const char *const need[] = {"role", "state", "address"};
+	const char *own = json_string_value(json_object_get(entry, "id"));
+	size_t i;
+
+	for (i = 0; i < sizeof(need) / sizeof(need[0]); i++)
+		if (!json_is_string(json_object_get(entry, need[i])))
+			return false;
+	return own != NULL && strcmp(own, id) == 0;
+}
+
+int
+platform_handle_instances(struct mg_connection *conn, void *arg)
+{
+	const struct mg_request_info *ri = mg_get_request_info(conn);
+	const char *id = ri->local_uri + strlen("/instances/v1");
+	json_t *entry;
+
+	if (*id == '\0' && strcmp(ri->request_method, "GET") == 0)
+		return get_instances(conn, arg);
+	if (id[0] != '/' || id[1] == '\0')
+		return platform_send_error(conn, 404, "no such instance");
+	id++;
+	if (strcmp(ri->request_method, "DELETE") == 0)
+		return edit_instance(conn, arg, id, NULL);
+	if (strcmp(ri->request_method, "PUT") != 0)
+		return platform_send_error(conn, 405, "PUT or DELETE");
+	entry = platform_read_json(conn);
+	if (!check_entry(entry, id)) {
+		json_decref(entry);
+		return platform_send_error(conn, 400, "malformed instance");
+	}
+	return edit_instance(conn, arg, id, entry);
+}
