Add queue and limit

The cell needs its waiting requests ordered by rank and client account, and client account limits that hold over all cells of a service.

queue: strict priority with floor credit, deficit round robin over accounts, bounds on count, bytes and expected wait. Interface changes, and why: - try_item returns placed, no room or pass. "No room" ends the pass, so that no smaller or less urgent item takes the place that the item waits for; a plain bool could not tell this from an item held back for other reasons. - try_item gets the headroom to keep, because it depends on whether the item is due under its floor. - pb_push_queue returns displaced items.

limit: token buckets and a concurrency count whose share follows the demand in reports from other cells. A share that grows is held back until other cells have heard of the demand behind it; one that falls applies at once.

Tests: seeded driver of the queue against a table as oracle; floors within 2%, Jain index at least 0.98. The accuracy of the expected wait is not tested yet.

--- /dev/null
+++ b/source/limit/limit-share.c
@@ -0,0 +1,209 @@
+#include "limit-internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A report that is not renewed holds for this long. */
+#define EXPIRY_US (5 * PB_SEC)
+/*
+ * Part of a limit that is divided equally, also to cells without reported
+ * demand, so that a cell where demand begins can admit its first requests.
+ */
+#define RESERVE 0.04
+/* Share of refused requests below which none count as refused. */
+#define REFUSED_MIN 0.01F
+#define RATE_MIN 0.01F /* requests per second that count as none */
+
+/* Demand for one account over the other cells. */
+struct demand_sum {
+	double pressure;
+	uint32_t in_flight;
+	int heard; /* cells with a report that holds */
+	int reporting; /* of these, how many name the account */
+};
+
+double
+limit_pressure(const struct pb_account_limits *limits,
+    const struct pb_account_demand *demand)
+{
+	double p = 0;
+
+	if (limits->requests_per_sec > 0)
+		p = fmax(p,
+		    (double)demand->requests_per_sec /
+			limits->requests_per_sec);
+	if (limits->work_per_sec > 0)
+		p = fmax(
+		    p, (double)demand->work_per_sec / limits->work_per_sec);
+	if (limits->concurrency > 0)
+		p = fmax(p, (double)demand->concurrency / limits->concurrency);
+	return fmin(p, 1);
+}
+
+/*
+ * The concurrency asked for is what is in flight, scaled by how many requests
+ * come for one that is admitted: in flight alone would hide the demand of a
+ * cell whose share is used up by other cells.
+ */
+void
+limit_read_own(const struct limit_account *a, struct pb_account_demand *demand)
+{
+	float ratio = 1;
+
+	if (a->request_rate > a->admitted_rate * (1 + REFUSED_MIN))
+		ratio = a->request_rate / fmaxf(a->admitted_rate, RATE_MIN);
+	demand->account = a->account;
+	demand->requests_per_sec = a->request_rate;
+	demand->work_per_sec = a->work_rate;
+	demand->concurrency = ratio > 1 ? ratio * fmaxf((float)a->in_flight, 1)
+					: (float)a->in_flight;
+	demand->in_flight = a->in_flight;
+}
+
+static int
+compare_demand(const void *a, const void *b)
+{
+	uint64_t x = ((const struct pb_account_demand *)a)->account;
+	uint64_t y = ((const struct pb_account_demand *)b)->account;
+
+	return x < y ? -1 : x > y;
+}
+
+static void
+sum_demand(struct pb_context *ctx, const struct pb_limiter *l,
+    const struct limit_account *a, struct demand_sum *sum)
+{
+	int64_t now = pb_now(ctx);
+	struct pb_account_demand key = {.account = a->account};
+	size_t i;
+
+	memset(sum, 0, sizeof(*sum));
+	for (i = 0; i < l->remotes; i++) {
+		const struct remote_cell *c = &l->remote[i];
+		const struct pb_account_demand *d = NULL;
+
+		if (now - c->at > EXPIRY_US)
+			continue;
+		sum->heard++;
+		if (c->count > 0)
+			d = bsearch(&key, c->demand, c->count, sizeof(*d),
+			    compare_demand);
+		if (d == NULL)
+			continue;
+		sum->reporting++;
+		sum->pressure += limit_pressure(&a->limits, d);
+		sum->in_flight += d->in_flight;
+	}
+}
+
+/*
+ * The part of the limit that this cell may use when the demand is as known.
+ * When the demand is within the limit, each reporting cell has what it asks
+ * for and an equal part of the rest; else all have their proportion.
+ */
+static double
+target_share(const struct pb_limiter *l, const struct limit_account *a,
+    const struct demand_sum *sum)
+{
+	int cells = l->cells, served = sum->heard + 1;
+	struct pb_account_demand demand;
+	double own, total, pool, part;
+
+	if (served > cells)
+		served = cells;
+	if (cells <= 1)
+		return 1;
+	if (!a->reported && sum->reporting == 0)
+		return 1.0 / cells;
+	pool = (double)served / cells;
+	if (!a->reported)
+		return pool * RESERVE / served;
+	limit_read_own(a, &demand);
+	own = limit_pressure(&a->limits, &demand);
+	total = own + sum->pressure;
+	if (total <= 1)
+		part = own + (1 - total) / (sum->reporting + 1);
+	else
+		part = own / total;
+	return pool * (RESERVE / served + (1 - RESERVE) * part);
+}
+
+void
+limit_update_share(
+    struct pb_context *ctx, struct pb_limiter *limiter, struct limit_account *a)
+{
+	int64_t slot = pb_now(ctx) / HOLD_SLOT_US + HOLD_SLOTS;
+	struct demand_sum sum;
+	float target, least;
+	int i;
+
+	sum_demand(ctx, limiter, a, &sum);
+	a->known = sum.reporting > 0;
+	a->others_in_flight = sum.in_flight;
+	target = (float)target_share(limiter, a, &sum);
+	if (slot - a->slot > HOLD_SLOTS)
+		a->slot = slot - HOLD_SLOTS;
+	while (a->slot < slot) {
+		a->slot++;
+		a->held[a->slot % HOLD_SLOTS] = target;
+	}
+	if (target < a->held[slot % HOLD_SLOTS])
+		a->held[slot % HOLD_SLOTS] = target;
+	least = target;
+	for (i = 0; i < HOLD_SLOTS; i++)
+		least = fminf(least, a->held[i]);
+	a->share = limiter->cells <= 1 ? 1 : least;
+}
+
+static struct remote_cell *
+find_remote(struct pb_context *ctx, struct pb_limiter *l, uint64_t cell)
+{
+	int64_t now = pb_now(ctx);
+	struct remote_cell *c;
+	size_t i;
+
+	for (i = 0; i < l->remotes; i++)
+		if (l->remote[i].cell == cell)
+			return &l->remote[i];
+	for (i = 0; i < l->remotes; i++)
+		if (now - l->remote[i].at > EXPIRY_US)
+			break;
+	if (i == l->remotes) {
+		/* Also bounds what a peer with made-up cells can use up. */
+		if (l->cells > 0 && l->remotes >= (size_t)l->cells * 2)
+			return NULL;
+		c = realloc(l->remote, (l->remotes + 1) * sizeof(*c));
+		if (c == NULL)
+			return NULL;
+		l->remote = c;
+		memset(&c[i], 0, sizeof(*c));
+		l->remotes++;
+	}
+	l->remote[i].cell = cell;
+	return &l->remote[i];
+}
+
+void
+pb_note_demand(struct pb_context *ctx, struct pb_limiter *limiter,
+    uint64_t cell, const struct pb_account_demand *demand, size_t count)
+{
+	struct remote_cell *c = find_remote(ctx, limiter, cell);
+	struct pb_account_demand *copy = NULL;
+
+	if (c == NULL)
+		return;
+	if (count > PB_DEMAND_MAX)
+		count = PB_DEMAND_MAX;
+	if (count > 0) {
+		copy = malloc(count * sizeof(*copy));
+		if (copy == NULL)
+			return;
+		memcpy(copy, demand, count * sizeof(*copy));
+		qsort(copy, count, sizeof(*copy), compare_demand);
+	}
+	free(c->demand);
+	c->demand = copy;
+	c->count = count;
+	c->at = pb_now(ctx);
+}
--- /dev/null
+++ b/source/queue/queue-account.c
@@ -0,0 +1,203 @@
+#include "queue-internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+static size_t
+bucket_of(int rank, uint64_t account)
+{
+	return (account ^ (account >> 32) ^ (uint64_t)rank * 131) &
+	    (ACCOUNT_BUCKETS - 1);
+}
+
+static void
+chain_remove(struct account_chain *c, struct pb_queue_account *a)
+{
+	if (a->prev != NULL)
+		a->prev->next = a->next;
+	else
+		c->head = a->next;
+	if (a->next != NULL)
+		a->next->prev = a->prev;
+	else
+		c->tail = a->prev;
+}
+
+static void
+chain_append(struct account_chain *c, struct pb_queue_account *a)
+{
+	a->next = NULL;
+	a->prev = c->tail;
+	if (c->tail != NULL)
+		c->tail->next = a;
+	else
+		c->head = a;
+	c->tail = a;
+}
+
+static void
+move_to_ring(struct pb_queue *q, struct pb_queue_account *a)
+{
+	struct rank_state *r = &q->rank[a->rank];
+
+	chain_remove(&r->lists[a->list], a);
+	a->list = LIST_RING;
+	chain_append(&r->lists[LIST_RING], a);
+}
+
+struct pb_queue_account *
+queue_find_account(struct pb_queue *q, int rank, uint64_t account)
+{
+	struct pb_queue_account *a = q->buckets[bucket_of(rank, account)];
+
+	while (a != NULL && (a->account != account || a->rank != rank))
+		a = a->hash_next;
+	return a;
+}
+
+struct pb_queue_account *
+queue_get_account(struct pb_queue *q, const struct pb_queue_item *item)
+{
+	struct rank_state *r = &q->rank[item->rank];
+	struct pb_queue_account *a, **bucket;
+
+	a = queue_find_account(q, item->rank, item->account);
+	if (a == NULL) {
+		a = calloc(1, sizeof(*a));
+		if (a == NULL)
+			return NULL;
+		a->account = item->account;
+		a->rank = item->rank;
+		a->weight = item->weight > 0 ? item->weight : 1;
+		a->deficit = r->quantum * a->weight;
+		a->list = LIST_FRESH;
+		bucket = &q->buckets[bucket_of(item->rank, item->account)];
+		a->hash_next = *bucket;
+		*bucket = a;
+		chain_append(&r->lists[LIST_FRESH], a);
+		r->accounts++;
+	}
+	a->weight = item->weight > 0 ? item->weight : 1;
+	return a;
+}
+
+static void
+forget_account(struct pb_queue *q, struct pb_queue_account *a)
+{
+	struct rank_state *r = &q->rank[a->rank];
+	struct pb_queue_account **p;
+
+	p = &q->buckets[bucket_of(a->rank, a->account)];
+	while (*p != a)
+		p = &(*p)->hash_next;
+	*p = a->hash_next;
+	chain_remove(&r->lists[a->list], a);
+	r->accounts--;
+	free(a);
+}
+
+void
+queue_forget_accounts(struct pb_queue *q, int rank)
+{
+	struct rank_state *r = &q->rank[rank];
+	int i;
+
+	for (i = 0; i < 2; i++)
+		while (r->lists[i].head != NULL)
+			forget_account(q, r->lists[i].head);
+}
+
+/*
+ * A fresh account that has used its quantum or has no item left joins the
+ * ring. It is not forgotten at once, else an account that sends one request
+ * at a time would always be fresh and get more than its share.
+ */
+static struct pb_queue_account *
+next_fresh(struct pb_queue *q, int rank)
+{
+	struct pb_queue_account *a, *next;
+
+	for (a = q->rank[rank].lists[LIST_FRESH].head; a != NULL; a = next) {
+		next = a->next;
+		if (a->items == 0 || a->deficit <= 0)
+			move_to_ring(q, a);
+		else if (a->pass != q->pass)
+			return a;
+	}
+	return NULL;
+}
+
+/* Gives every waiting account the rounds that the nearest one needs. */
+static bool
+add_rounds(struct pb_queue *q, int rank)
+{
+	struct rank_state *r = &q->rank[rank];
+	struct pb_queue_account *a;
+	double rounds = INFINITY;
+
+	for (a = r->lists[LIST_RING].head; a != NULL; a = a->next)
+		if (a->items > 0 && a->pass != q->pass)
+			rounds = fmin(rounds,
+			    fmax(0,
+				floor(-a->deficit / (r->quantum * a->weight))));
+	if (isinf(rounds))
+		return false;
+	for (a = r->lists[LIST_RING].head; a != NULL; a = a->next)
+		if (a->items > 0 && a->deficit <= 0)
+			a->deficit += rounds * r->quantum * a->weight;
+	return true;
+}
+
+/* One turn of the ring; NULL when no account has work left in this round. */
+static struct pb_queue_account *
+turn_ring(struct pb_queue *q, int rank)
+{
+	struct rank_state *r = &q->rank[rank];
+	struct pb_queue_account *a;
+	uint32_t left = r->accounts;
+
+	while (left-- > 0 && (a = r->lists[LIST_RING].head) != NULL) {
+		if (a->items == 0) {
+			forget_account(q, a);
+			continue;
+		}
+		if (a->pass != q->pass && a->deficit > 0)
+			return a;
+		if (a->pass != q->pass)
+			a->deficit += r->quantum * a->weight;
+		move_to_ring(q, a);
+	}
+	return NULL;
+}
+
+struct pb_queue_account *
+queue_next_account(struct pb_queue *q, int rank)
+{
+	struct pb_queue_account *a = next_fresh(q, rank);
+
+	if (a != NULL)
+		return a;
+	for (;;) {
+		a = turn_ring(q, rank);
+		if (a != NULL)
+			return a;
+		if (!add_rounds(q, rank))
+			return NULL;
+	}
+}
+
+struct pb_queue_account *
+queue_longest_account(struct pb_queue *q, int rank)
+{
+	struct pb_queue_account *a, *best = NULL;
+	int i;
+
+	for (i = 0; i < 2; i++)
+		for (a = q->rank[rank].lists[i].head; a != NULL; a = a->next)
+			if (a->items > 0 &&
+			    (best == NULL ||
+				(double)a->work / a->weight >
+				    (double)best->work / best->weight))
+				best = a;
+	return best;
+}
--- /dev/null
+++ b/source/queue/queue-serve.c
@@ -0,0 +1,142 @@
+#include "queue-internal.h"
+
+/*
+ * A rank whose credit reaches this many times its next item has waited for
+ * room in vain; its item may then use all of an engine.
+ */
+#define OVERDUE 2.0
+/* Bound of a rank's credit, in largest items. */
+#define CREDIT_ITEMS 4.0
+
+/* What is offered next, and on which terms. */
+struct offer {
+	struct pb_queue_account *account;
+	double headroom;
+};
+
+void
+queue_charge_rank(struct pb_queue *q, int rank, uint32_t work)
+{
+	struct rank_state *r;
+	double bound = CREDIT_ITEMS * q->largest;
+	int i;
+
+	for (i = 0; i < q->policy.rank_count; i++) {
+		r = &q->rank[i];
+		if (r->items == 0 && i != rank)
+			continue;
+		r->credit += q->policy.rank[i].floor * work;
+		if (r->credit > bound)
+			r->credit = bound;
+	}
+	r = &q->rank[rank];
+	r->credit = r->credit > work ? r->credit - work : 0;
+	r->served_work += work;
+}
+
+/* Headroom of the most urgent rank that waits, for an item that is due. */
+static double
+contended_headroom(const struct pb_queue *q, int rank)
+{
+	int i;
+
+	for (i = 0; i < rank; i++)
+		if (q->rank[i].items > 0 &&
+		    q->policy.rank[i].headroom < q->policy.rank[rank].headroom)
+			return q->policy.rank[i].headroom;
+	return q->policy.rank[rank].headroom;
+}
+
+static double
+plain_headroom(const struct pb_queue *q, const struct pb_queue_account *a)
+{
+	double h = q->policy.rank[a->rank].headroom;
+
+	return a->list == LIST_FRESH ? h : h + q->policy.account_headroom;
+}
+
+static bool
+choose_offer(struct pb_queue *q, struct offer *offer)
+{
+	struct pb_queue_account *a;
+	int i;
+
+	offer->account = NULL;
+	for (i = 0; i < q->policy.rank_count; i++) {
+		if (q->rank[i].items == 0)
+			continue;
+		a = queue_next_account(q, i);
+		if (a == NULL)
+			continue;
+		if (q->rank[i].credit >= a->head->work) {
+			offer->account = a;
+			offer->headroom =
+			    q->rank[i].credit >= OVERDUE * a->head->work
+			    ? 0
+			    : contended_headroom(q, i);
+			return true;
+		}
+		if (offer->account == NULL) {
+			offer->account = a;
+			offer->headroom = plain_headroom(q, a);
+		}
+	}
+	return offer->account != NULL;
+}
+
+static enum pb_try_result
+make_offer(
+    struct pb_queue *q, struct offer *offer, pb_try_item *try_item, void *arg)
+{
+	struct pb_queue_account *a = offer->account;
+	struct pb_queue_item *item = a->head;
+	uint32_t work = item->work;
+	enum pb_try_result result;
+
+	queue_unlink(q, item);
+	result = try_item(arg, item, offer->headroom);
+	if (result != PB_TRY_PLACED) {
+		queue_link(q, a, item, true);
+		a->pass = q->pass;
+		return result;
+	}
+	a->deficit -= work;
+	queue_charge_rank(q, a->rank, work);
+	queue_settle_rank(q, a->rank);
+	return result;
+}
+
+size_t
+pb_serve_queue(struct pb_context *ctx, struct pb_queue *queue,
+    pb_try_item *try_item, void *arg)
+{
+	struct offer offer;
+	enum pb_try_result result = PB_TRY_PLACED;
+	size_t placed = 0;
+
+	queue->pass++;
+	while (result != PB_TRY_NO_ROOM && choose_offer(queue, &offer)) {
+		result = make_offer(queue, &offer, try_item, arg);
+		if (result == PB_TRY_PLACED)
+			placed++;
+	}
+	queue_set_blocked(ctx, queue, result == PB_TRY_NO_ROOM);
+	return placed;
+}
+
+void
+pb_charge_queue(struct pb_context *ctx, struct pb_queue *queue, int rank,
+    uint64_t account, double weight, uint32_t work)
+{
+	struct pb_queue_account *a;
+
+	(void)weight;
+	if (rank < 0 || rank >= queue->policy.rank_count)
+		return;
+	a = queue_find_account(queue, rank, account);
+	if (a != NULL)
+		a->deficit -= work;
+	queue_note_arrival(ctx, queue, rank, work);
+	queue_charge_rank(queue, rank, work);
+	queue_settle_rank(queue, rank);
+}
--- /dev/null
+++ b/tests/test-limit.c
@@ -0,0 +1,307 @@
+#include "poplarbeam/limit.h"
+
+#include <CUnit/Basic.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CELLS_MAX 8
+#define STEP_US (20 * PB_MSEC)
+#define REPORT_US (500 * PB_MSEC)
+#define WINDOW_STEPS 500 /* 10 s */
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+static struct pb_random rnd;
+
+static bool
+take(struct pb_limiter *l, uint64_t account,
+    const struct pb_account_limits *limits, uint32_t work)
+{
+	int64_t retry;
+
+	return pb_take_limit(ctx, l, account, limits, work, &retry) == PB_OK;
+}
+
+/* Guards against a limit that one cell does not hold exactly. */
+static void
+test_one_cell_exact(void)
+{
+	struct pb_account_limits limits = {100, 5000, 0, 1};
+	struct pb_limiter *l = pb_new_limiter(ctx, 10, 1);
+	int64_t retry = 0;
+	int admitted = 0, i;
+
+	for (i = 0; i < 100 * 1000; i++) {
+		if (take(l, 1, &limits, 40)) {
+			pb_return_limit(ctx, l, 1, 40, 40);
+			admitted++;
+		}
+		pb_advance_clock(&clk, PB_MSEC / 10);
+	}
+	/* 10 s and a burst of 1 s, at the tighter of 100/s and 5000/40/s. */
+	CU_ASSERT(admitted == 1100 || admitted == 1099); /* rounding */
+	while (pb_take_limit(ctx, l, 1, &limits, 40, &retry) == PB_OK)
+		;
+	pb_advance_clock(&clk, retry - 1);
+	CU_ASSERT_FALSE(take(l, 1, &limits, 40));
+	pb_advance_clock(&clk, 1);
+	CU_ASSERT_TRUE(take(l, 1, &limits, 40));
+	pb_drop_limiter(ctx, l);
+}
+
+/* Guards against work that is charged by its estimate, against work larger
+ * than the bucket that never runs, and against paying for what did not run. */
+static void
+test_work_correction(void)
+{
+	struct pb_account_limits limits = {0, 1000, 0, 1};
+	struct pb_limiter *l = pb_new_limiter(ctx, 10, 1);
+
+	CU_ASSERT_TRUE(take(l, 1, &limits, 800));
+	CU_ASSERT_FALSE(take(l, 1, &limits, 300));
+	pb_return_limit(ctx, l, 1, 800, 100);
+	CU_ASSERT_TRUE(take(l, 1, &limits, 900));
+	pb_return_limit(ctx, l, 1, 900, 0);
+	CU_ASSERT_TRUE(take(l, 1, &limits, 900));
+	pb_return_limit(ctx, l, 1, 900, 2900);
+	pb_advance_clock(&clk, PB_SEC);
+	CU_ASSERT_FALSE(take(l, 1, &limits, 1));
+	pb_advance_clock(&clk, 2 * PB_SEC);
+	CU_ASSERT_TRUE(take(l, 1, &limits, 5000));
+	limits = (struct pb_account_limits){1, 0, 0, 1};
+	CU_ASSERT_TRUE(take(l, 2, &limits, 1));
+	CU_ASSERT_FALSE(take(l, 2, &limits, 1));
+	pb_return_limit(ctx, l, 2, 1, 0);
+	CU_ASSERT_TRUE(take(l, 2, &limits, 1));
+	pb_drop_limiter(ctx, l);
+}
+
+/* Guards against concurrency that leaks, or is held per call in place of per
+ * account. */
+static void
+test_concurrency(void)
+{
+	struct pb_account_limits limits = {0, 0, 3, 0};
+	struct pb_limiter *l = pb_new_limiter(ctx, 10, 1);
+	int i;
+
+	for (i = 0; i < 100; i++) {
+		CU_ASSERT_TRUE(take(l, 1, &limits, 1));
+		CU_ASSERT_TRUE(take(l, 1, &limits, 1));
+		CU_ASSERT_TRUE(take(l, 1, &limits, 1));
+		CU_ASSERT_FALSE(take(l, 1, &limits, 1));
+		CU_ASSERT_TRUE(take(l, 2, &limits, 1));
+		pb_return_limit(ctx, l, 1, 1, 1);
+		pb_return_limit(ctx, l, 1, 1, 1);
+		pb_return_limit(ctx, l, 1, 1, 1);
+		pb_return_limit(ctx, l, 2, 1, 1);
+	}
+	pb_return_limit(ctx, l, 1, 1, 1);
+	CU_ASSERT_TRUE(take(l, 1, &limits, 1));
+	pb_drop_limiter(ctx, l);
+}
+
+/* Guards against memory that grows with every account ever seen, and against
+ * a bucket that is refilled because its account was forgotten. */
+static void
+test_bounded_accounts(void)
+{
+	struct pb_account_limits limits = {1, 0, 0, 1};
+	struct pb_limiter *l = pb_new_limiter(ctx, 18000, 1);
+	uint64_t i, admitted = 0;
+
+	for (i = 0; i < 20000; i++)
+		admitted += take(l, i, &limits, 1);
+	CU_ASSERT_EQUAL(admitted, 18000);
+	CU_ASSERT_EQUAL(pb_trim_limiter(ctx, l), 18000);
+	for (i = 0; i < 17000; i++)
+		pb_return_limit(ctx, l, i, 1, 1);
+	pb_advance_clock(&clk, PB_SEC / 2);
+	CU_ASSERT_EQUAL(pb_trim_limiter(ctx, l), 18000);
+	CU_ASSERT_FALSE(take(l, 0, &limits, 1));
+	pb_advance_clock(&clk, 20 * PB_SEC);
+	CU_ASSERT_EQUAL(pb_trim_limiter(ctx, l), 1000);
+	CU_ASSERT_TRUE(take(l, 19000, &limits, 1));
+	pb_drop_limiter(ctx, l);
+}
+
+/* Guards against cells that each give an unreported account all of its
+ * limit, also when reports from other cells stop. */
+static void
+test_equal_division(void)
+{
+	struct pb_account_limits limits = {100, 0, 0, 1};
+	struct pb_limiter *l = pb_new_limiter(ctx, 10, 4);
+	struct pb_account_demand d = {.account = 1, .requests_per_sec = 100};
+	int admitted = 0, i, j;
+
+	for (i = 0; i < 1000; i++) {
+		admitted += take(l, 1, &limits, 1);
+		pb_advance_clock(&clk, 10 * PB_MSEC);
+	}
+	CU_ASSERT(admitted >= 270 && admitted <= 275);
+	/* All demand is elsewhere, then nothing is heard any more. */
+	for (j = 0; j < 2; j++) {
+		for (i = 0; j == 0 && i < 4; i++)
+			pb_note_demand(ctx, l, (uint64_t)i, &d, 1);
+		admitted = 0;
+		for (i = 0; i < 400; i++) {
+			admitted += take(l, 1, &limits, 1);
+			pb_advance_clock(&clk, 10 * PB_MSEC);
+		}
+		if (j == 0)
+			CU_ASSERT(admitted < 30);
+	}
+	pb_advance_clock(&clk, 10 * PB_SEC);
+	for (admitted = 0, i = 0; i < 1000; i++) {
+		admitted += take(l, 1, &limits, 1);
+		pb_advance_clock(&clk, 10 * PB_MSEC);
+	}
+	CU_ASSERT(admitted >= 250 && admitted <= 275);
+	pb_drop_limiter(ctx, l);
+}
+
+/* Several cells that exchange reports which arrive late. */
+struct report {
+	int64_t arrives;
+	size_t count;
+	struct pb_account_demand demand[4];
+};
+
+struct fleet {
+	int cells;
+	struct pb_limiter *cell[CELLS_MAX];
+	struct report report[CELLS_MAX][CELLS_MAX][8]; /* from, to */
+	int64_t sent;
+	double offered[CELLS_MAX]; /* requests per second */
+	double admitted_total;
+	double offered_total;
+	double window[WINDOW_STEPS];
+	double sum;
+	double largest; /* in any window of 10 s */
+	int step;
+};
+
+static void
+send_reports(struct fleet *f)
+{
+	struct report r;
+	int from, to, slot = (int)(f->sent / REPORT_US % 8);
+
+	for (from = 0; from < f->cells; from++) {
+		r.count = pb_read_demand(ctx, f->cell[from], r.demand, 4);
+		for (to = 0; to < f->cells; to++) {
+			r.arrives = pb_now(ctx) + PB_SEC / 2 +
+			    (int64_t)(pb_next_unit(&rnd) * 1.5 * PB_SEC);
+			f->report[from][to][slot] = r;
+		}
+	}
+}
+
+static void
+deliver_reports(struct fleet *f)
+{
+	int from, to, i;
+
+	for (from = 0; from < f->cells; from++)
+		for (to = 0; to < f->cells; to++)
+			for (i = 0; i < 8; i++) {
+				struct report *r = &f->report[from][to][i];
+
+				if (from == to || r->arrives == 0 ||
+				    r->arrives > pb_now(ctx))
+					continue;
+				pb_note_demand(ctx, f->cell[to],
+				    100 + (uint64_t)from, r->demand, r->count);
+				r->arrives = 0;
+			}
+}
+
+static void
+step_fleet(
+    struct fleet *f, const struct pb_account_limits *limits, uint32_t work)
+{
+	double admitted = 0, mean;
+	int i;
+
+	if (pb_now(ctx) - f->sent >= REPORT_US) {
+		f->sent = pb_now(ctx) / REPORT_US * REPORT_US;
+		send_reports(f);
+	}
+	deliver_reports(f);
+	for (i = 0; i < f->cells; i++) {
+		mean = f->offered[i] * STEP_US / PB_SEC;
+		for (; mean > 0 && pb_next_unit(&rnd) < mean; mean -= 1) {
+			f->offered_total++;
+			if (!take(f->cell[i], 7, limits, work))
+				continue;
+			pb_return_limit(ctx, f->cell[i], 7, work, work);
+			admitted++;
+		}
+	}
+	f->admitted_total += admitted;
+	f->sum += admitted - f->window[f->step % WINDOW_STEPS];
+	f->window[f->step++ % WINDOW_STEPS] = admitted;
+	if (f->sum > f->largest)
+		f->largest = f->sum;
+	pb_advance_clock(&clk, STEP_US);
+}
+
+/* Guards against a fleet limit that is exceeded by more than 5% over 10 s
+ * while demand moves between cells and reports are 0.5 to 2 s late. */
+static void
+test_fleet_limit(void)
+{
+	static struct fleet f;
+	struct pb_account_limits limits = {200, 0, 0, 0.5};
+	double allowed = 200 * (10 + 0.5);
+	int i, seed, step;
+
+	for (seed = 1; seed <= 6; seed++) {
+		memset(&f, 0, sizeof(f));
+		rnd.state = (uint64_t)seed;
+		f.cells = 2 + seed % 3;
+		for (i = 0; i < f.cells; i++)
+			f.cell[i] = pb_new_limiter(ctx, 100, f.cells);
+		for (step = 0; step < 150 * 50; step++) {
+			/* Demand moves every 3 to 12 s by seed. */
+			if (step % (150 * (1 + seed % 4)) == 0)
+				for (i = 0; i < f.cells; i++)
+					f.offered[i] =
+					    pb_next_random(&rnd) % 2 == 0
+					    ? 0
+					    : 600 * pb_next_unit(&rnd);
+			step_fleet(&f, &limits, 10);
+		}
+		printf("seed %d cells %d: excess %.3f use %.3f\n", seed,
+		    f.cells, f.largest / allowed - 1,
+		    f.admitted_total / (200 * 150));
+		CU_ASSERT(f.largest <= allowed * 1.05);
+		for (i = 0; i < f.cells; i++)
+			pb_drop_limiter(ctx, f.cell[i]);
+	}
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("limit", NULL, NULL);
+	CU_add_test(s, "one cell exact", test_one_cell_exact);
+	CU_add_test(s, "work correction", test_work_correction);
+	CU_add_test(s, "concurrency", test_concurrency);
+	CU_add_test(s, "bounded accounts", test_bounded_accounts);
+	CU_add_test(s, "equal division", test_equal_division);
+	CU_add_test(s, "fleet limit", test_fleet_limit);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
--- /dev/null
+++ b/tests/test-queue.c
@@ -0,0 +1,521 @@
+#include "poplarbeam/queue.h"
+
+#include <CUnit/Basic.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ITEMS_MAX 4096
+#define RANKS 4
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+static struct pb_queue *queue;
+static struct pb_queue_item items[ITEMS_MAX];
+static struct pb_random rnd;
+
+/* What the stand-in for placement does, and what it saw. */
+static struct {
+	int room; /* items that still fit */
+	uint64_t pass_id; /* item that is held back, 0 for none */
+	uint64_t order[ITEMS_MAX];
+	double headroom;
+	size_t offered;
+	size_t placed;
+} engine;
+
+static struct pb_queue_policy
+make_policy(double f0, double f1, double f2, double f3)
+{
+	struct pb_queue_policy p = {.rank_count = RANKS,
+	    .max_items = 1000,
+	    .max_bytes = 1000000,
+	    .rank = {{.floor = f0}, {.floor = f1, .headroom = 0.02},
+		{.floor = f2, .headroom = 0.03},
+		{.floor = f3, .headroom = 0.04}}};
+
+	return p;
+}
+
+static void
+start(struct pb_queue_policy policy)
+{
+	pb_drop_queue(ctx, queue);
+	queue = pb_new_queue(ctx, &policy);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(queue);
+	memset(&engine, 0, sizeof(engine));
+	memset(items, 0, sizeof(items));
+	rnd.state = 42;
+}
+
+static enum pb_try_result
+try_item(void *arg, struct pb_queue_item *item, double headroom)
+{
+	(void)arg;
+	engine.headroom = headroom;
+	engine.offered++;
+	if (item->id == engine.pass_id && item->id != 0)
+		return PB_TRY_PASS;
+	if (engine.room == 0)
+		return PB_TRY_NO_ROOM;
+	engine.room--;
+	if (engine.placed < ITEMS_MAX)
+		engine.order[engine.placed] = item->id;
+	engine.placed++;
+	return PB_TRY_PLACED;
+}
+
+static size_t
+serve(int room)
+{
+	engine.room = room;
+	return pb_serve_queue(ctx, queue, try_item, NULL);
+}
+
+static int
+push(uint64_t id, int rank, uint64_t account, uint32_t work)
+{
+	struct pb_queue_item *item = &items[id], *displaced;
+
+	*item = (struct pb_queue_item){.id = id,
+	    .rank = rank,
+	    .account = account,
+	    .weight = 1,
+	    .work = work,
+	    .bytes = 10,
+	    .since_us = pb_now(ctx),
+	    .expire_us = INT64_MAX / 2};
+	return pb_push_queue(ctx, queue, item, &displaced);
+}
+
+static uint32_t
+random_work(void)
+{
+	return 1 + (uint32_t)(pb_next_random(&rnd) % 1000);
+}
+
+/* Guards against low ranks before urgent ones, and against reordering in an
+ * account. */
+static void
+test_rank_order(void)
+{
+	const uint64_t expected[] = {4, 5, 2, 3, 1};
+	size_t i;
+
+	start(make_policy(0, 0, 0, 0));
+	push(1, 3, 7, 10);
+	push(2, 1, 7, 900);
+	push(3, 1, 7, 10);
+	push(4, 0, 7, 500);
+	push(5, 0, 7, 10);
+	CU_ASSERT_EQUAL(serve(10), 5);
+	for (i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(engine.order[i], expected[i]);
+}
+
+/* Guards against small low rank work that takes the place that a large urgent
+ * item waits for. */
+static void
+test_no_room_ends_pass(void)
+{
+	start(make_policy(0, 0, 0, 0));
+	push(1, 0, 7, 5000);
+	push(2, 0, 8, 1);
+	push(3, 3, 9, 1);
+	CU_ASSERT_EQUAL(serve(0), 0);
+	CU_ASSERT_EQUAL(engine.offered, 1);
+	CU_ASSERT_EQUAL(serve(1), 1);
+	CU_ASSERT_EQUAL(engine.order[0], 1);
+}
+
+/* Guards against an item that waits for a certain upstream and stops all. */
+static void
+test_pass_leaves_account_out(void)
+{
+	start(make_policy(0, 0, 0, 0));
+	push(1, 0, 7, 10);
+	push(2, 0, 7, 10);
+	push(3, 0, 8, 10);
+	push(4, 2, 7, 10);
+	engine.pass_id = 1;
+	CU_ASSERT_EQUAL(serve(10), 2);
+	CU_ASSERT_EQUAL(engine.order[0], 3);
+	CU_ASSERT_EQUAL(engine.order[1], 4);
+	engine.pass_id = 0;
+	CU_ASSERT_EQUAL(serve(10), 2);
+	CU_ASSERT_EQUAL(engine.order[2], 1);
+}
+
+/* Keeps every rank backlogged and serves n items one by one. */
+static void
+flood(int n, uint32_t largest)
+{
+	size_t next = 1, i;
+	int rank;
+
+	for (rank = 0; rank < RANKS; rank++)
+		for (i = 0; i < 20; i++)
+			push(next++, rank, i % 5, 1 + random_work() % largest);
+	while (n-- > 0) {
+		engine.placed = 0;
+		serve(1);
+		next = engine.order[0];
+		push(next, items[next].rank, items[next].account,
+		    1 + random_work() % largest);
+	}
+}
+
+static double
+served_share(int rank)
+{
+	struct pb_queue_stats st;
+	double sum = 0;
+	int i;
+
+	pb_read_queue_stats(queue, &st);
+	for (i = 0; i < RANKS; i++)
+		sum += (double)st.served_work_rank[i];
+	return (double)st.served_work_rank[rank] / sum;
+}
+
+/* Guards against ranks that lose their floor, or get far more, while the most
+ * urgent rank is flooded; also when their items are the largest. */
+static void
+test_floors_in_flood(void)
+{
+	const double floors[] = {0.3, 0.2, 0.1, 0.05};
+	int i;
+
+	start(make_policy(floors[0], floors[1], floors[2], floors[3]));
+	flood(50000, 1000);
+	for (i = 1; i < RANKS; i++) {
+		CU_ASSERT(served_share(i) > floors[i] * 0.98);
+		CU_ASSERT(served_share(i) < floors[i] * 1.02);
+	}
+}
+
+/* Guards against a rank that is due but is kept out by its own headroom, and
+ * against one that takes the headroom of a rank that does not wait. */
+static void
+test_due_headroom(void)
+{
+	int i;
+
+	start(make_policy(0, 0, 0, 0.1));
+	push(1, 3, 7, 100);
+	push(2, 1, 7, 100);
+	push(3, 1, 7, 100);
+	serve(0);
+	CU_ASSERT_EQUAL(engine.headroom, 0.02);
+	for (i = 0; i < 10; i++)
+		pb_charge_queue(ctx, queue, 0, 9, 1, 100);
+	serve(0);
+	CU_ASSERT_EQUAL(engine.headroom, 0.02);
+	CU_ASSERT_EQUAL(serve(1), 1);
+	CU_ASSERT_EQUAL(engine.order[0], 1);
+	push(1, 3, 7, 100);
+	for (i = 0; i < 20; i++)
+		pb_charge_queue(ctx, queue, 0, 9, 1, 100);
+	serve(0);
+	CU_ASSERT_EQUAL(engine.headroom, 0);
+}
+
+/* Guards against shares of accounts that follow the number or the size of
+ * their requests in place of their weights. */
+static void
+test_account_fairness(void)
+{
+	double got[8] = {0}, sum = 0, squares = 0, x;
+	size_t i, n;
+
+	start(make_policy(0, 0, 0, 0));
+	for (i = 1; i <= 8 * 30; i++)
+		push(i, 0, i % 8, 1 + random_work() % (100 << (i % 4)));
+	for (n = 0; n < 40000; n++) {
+		struct pb_queue_item *displaced;
+
+		engine.placed = 0;
+		serve(1);
+		i = engine.order[0];
+		got[items[i].account] += items[i].work;
+		push(i, 0, items[i].account,
+		    1 + random_work() % (100 << (i % 4)));
+		pb_remove_queue(ctx, queue, &items[i]);
+		items[i].weight = 1 + (double)(items[i].account % 3);
+		pb_push_queue(ctx, queue, &items[i], &displaced);
+	}
+	for (i = 0; i < 8; i++) {
+		x = got[i] / (double)(1 + i % 3);
+		sum += x;
+		squares += x * x;
+	}
+	CU_ASSERT(sum * sum / (8 * squares) >= 0.98);
+}
+
+/* Guards against a request of a small account behind a large backlog, and
+ * against an account that gains by sending one request at a time. */
+static void
+test_small_account(void)
+{
+	double single = 0, large = 0;
+	size_t i, n;
+
+	start(make_policy(0, 0, 0, 0));
+	for (i = 1; i <= 200; i++)
+		push(i, 0, i % 2, 100);
+	serve(20);
+	push(300, 0, 9, 100);
+	serve(1);
+	CU_ASSERT_EQUAL(engine.order[20], 300);
+	for (n = 0; n < 6000; n++) {
+		if (items[300].owner == NULL)
+			push(300, 0, 9, 100);
+		engine.placed = 0;
+		serve(1);
+		i = engine.order[0];
+		if (i == 300)
+			single += 100;
+		else
+			large += 50;
+		if (i != 300)
+			push(i, 0, items[i].account, 100);
+	}
+	CU_ASSERT(single < large * 1.02);
+}
+
+/* Guards against a queue full of low rank work that refuses urgent work, and
+ * against an urgent flood that pushes out the entitlement of a floor. */
+static void
+test_displacement(void)
+{
+	struct pb_queue_policy p = make_policy(0, 0, 0, 0.2);
+	struct pb_queue_item *displaced;
+	struct pb_queue_stats st;
+	uint64_t i;
+
+	p.max_items = 100;
+	start(p);
+	for (i = 1; i <= 100; i++)
+		CU_ASSERT_EQUAL(push(i, 3, i % 2, 10), PB_OK);
+	CU_ASSERT_EQUAL(push(101, 3, 1, 10), PB_EBUSY);
+	CU_ASSERT_EQUAL(push(102, 0, 1, 10), PB_OK);
+	for (i = 200; i < 400; i++)
+		push(i, 0, 1, 10);
+	pb_read_queue_stats(queue, &st);
+	CU_ASSERT_EQUAL(st.items, 100);
+	CU_ASSERT_EQUAL(st.items_rank[3], 20);
+	CU_ASSERT_EQUAL(st.displaced, 80);
+	pb_remove_queue(ctx, queue, &items[1]);
+	push(401, 0, 1, 10);
+	items[1].since_us = 0;
+	CU_ASSERT_EQUAL(
+	    pb_push_queue(ctx, queue, &items[1], &displaced), PB_OK);
+	CU_ASSERT_PTR_NOT_NULL(displaced);
+	CU_ASSERT(displaced != NULL && displaced->rank == 0);
+}
+
+/* Guards against one account that fills the queue, by count or by bytes. */
+static void
+test_bounds(void)
+{
+	struct pb_queue_policy p = make_policy(0, 0, 0, 0);
+	struct pb_queue_item *displaced;
+	struct pb_queue_stats st;
+
+	p.max_items = 10;
+	p.max_items_account = 8;
+	p.max_bytes = 95;
+	start(p);
+	for (uint64_t i = 1; i <= 8; i++)
+		CU_ASSERT_EQUAL(push(i, 0, 1, 10), PB_OK);
+	CU_ASSERT_EQUAL(push(9, 0, 1, 10), PB_EBUSY);
+	CU_ASSERT_EQUAL(push(10, 0, 2, 10), PB_OK);
+	items[11] = items[10];
+	items[11].account = 3;
+	CU_ASSERT_EQUAL(
+	    pb_push_queue(ctx, queue, &items[11], &displaced), PB_OK);
+	CU_ASSERT_PTR_EQUAL(displaced, &items[8]);
+	pb_read_queue_stats(queue, &st);
+	CU_ASSERT_EQUAL(st.bytes, 90);
+	CU_ASSERT_EQUAL(st.refused, 1);
+	p.rank[0].floor = 0.7;
+	p.rank[1].floor = 0.7;
+	CU_ASSERT_EQUAL(pb_set_queue_policy(ctx, queue, &p), PB_EINVAL);
+}
+
+static int64_t last_expired;
+static int expired_in_order;
+
+static void
+note_expired(void *arg, struct pb_queue_item *item)
+{
+	(void)arg;
+	expired_in_order += item->expire_us >= last_expired;
+	last_expired = item->expire_us;
+}
+
+/* Guards against waiting items that outlive their limit or the rank's. */
+static void
+test_expiry(void)
+{
+	struct pb_queue_policy p = make_policy(0, 0, 0, 0);
+	struct pb_queue_item *displaced;
+	int i;
+
+	p.rank[2].wait_limit_us = 500;
+	start(p);
+	CU_ASSERT_EQUAL(pb_next_expiry(queue), INT64_MAX);
+	for (i = 1; i <= 300; i++) {
+		items[i] = (struct pb_queue_item){.id = (uint64_t)i,
+		    .rank = i % 3,
+		    .account = (uint64_t)i % 7,
+		    .work = 1,
+		    .since_us = pb_now(ctx),
+		    .expire_us = pb_now(ctx) + 1 +
+			(int64_t)(pb_next_random(&rnd) % 1000)};
+		pb_push_queue(ctx, queue, &items[i], &displaced);
+		CU_ASSERT(items[i].rank != 2 ||
+		    items[i].expire_us <= pb_now(ctx) + 500);
+	}
+	last_expired = 0;
+	expired_in_order = 0;
+	CU_ASSERT_EQUAL(pb_expire_queue(ctx, queue, note_expired, NULL), 0);
+	pb_advance_clock(&clk, 1000);
+	CU_ASSERT_EQUAL(pb_expire_queue(ctx, queue, note_expired, NULL), 300);
+	CU_ASSERT_EQUAL(expired_in_order, 300);
+}
+
+/* What the queue must contain, kept as a plain table. */
+struct oracle {
+	bool linked[ITEMS_MAX];
+	uint64_t sequence[ITEMS_MAX];
+	uint64_t next_sequence;
+	uint32_t count;
+	int faults;
+};
+
+static enum pb_try_result
+check_offer(void *arg, struct pb_queue_item *item, double headroom)
+{
+	struct oracle *o = arg;
+	size_t i;
+
+	(void)headroom;
+	o->faults += !o->linked[item->id];
+	for (i = 0; i < ITEMS_MAX; i++) {
+		if (!o->linked[i])
+			continue;
+		/* Floors are 0, so a more urgent item goes first. */
+		o->faults += items[i].rank < item->rank;
+		o->faults += items[i].rank == item->rank &&
+		    items[i].account == item->account &&
+		    o->sequence[i] < o->sequence[item->id];
+	}
+	if (pb_next_random(&rnd) % 3 != 0)
+		return PB_TRY_NO_ROOM;
+	o->linked[item->id] = false;
+	o->count--;
+	return PB_TRY_PLACED;
+}
+
+static void
+oracle_unlink(void *arg, struct pb_queue_item *item)
+{
+	struct oracle *o = arg;
+
+	o->faults += !o->linked[item->id];
+	o->linked[item->id] = false;
+	o->count--;
+}
+
+static void
+random_push(struct oracle *o)
+{
+	size_t i = 1 + (size_t)(pb_next_random(&rnd) % 400);
+	struct pb_queue_item *displaced;
+
+	if (o->linked[i])
+		return;
+	items[i] = (struct pb_queue_item){.id = i,
+	    .rank = (int)(pb_next_random(&rnd) % RANKS),
+	    .account = pb_next_random(&rnd) % 9,
+	    .weight = 1 + (double)(pb_next_random(&rnd) % 3),
+	    .work = random_work(),
+	    .bytes = random_work(),
+	    .since_us = pb_now(ctx),
+	    .expire_us =
+		pb_now(ctx) + (int64_t)(pb_next_random(&rnd) % (10 * PB_SEC))};
+	if (pb_push_queue(ctx, queue, &items[i], &displaced) == PB_OK) {
+		o->linked[i] = true;
+		o->sequence[i] = o->next_sequence++;
+		o->count++;
+	}
+	for (; displaced != NULL; displaced = displaced->next)
+		oracle_unlink(o, displaced);
+}
+
+/* Guards against items that are lost, offered twice or out of order, and
+ * against counts that drift, under any sequence of calls. */
+static void
+test_random_driver(void)
+{
+	static struct oracle o;
+	struct pb_queue_policy p = make_policy(0, 0, 0, 0);
+	struct pb_queue_stats st;
+	int step;
+
+	memset(&o, 0, sizeof(o));
+	p.max_items = 200;
+	p.max_bytes = 60000;
+	start(p);
+	for (step = 0; step < 30000; step++) {
+		uint64_t dice = pb_next_random(&rnd) % 100;
+		size_t i = 1 + (size_t)(pb_next_random(&rnd) % 400);
+
+		if (dice < 70) {
+			random_push(&o);
+		} else if (dice < 78 && o.linked[i]) {
+			pb_remove_queue(ctx, queue, &items[i]);
+			oracle_unlink(&o, &items[i]);
+		} else if (dice < 95) {
+			pb_serve_queue(ctx, queue, check_offer, &o);
+			pb_complete_queue(ctx, queue, random_work());
+		} else {
+			pb_advance_clock(&clk, 100 * PB_MSEC);
+			pb_expire_queue(ctx, queue, oracle_unlink, &o);
+		}
+		pb_read_queue_stats(queue, &st);
+		o.faults += st.items != o.count;
+	}
+	CU_ASSERT_EQUAL(o.faults, 0);
+	CU_ASSERT(st.expired > 0 && st.displaced > 0 && st.refused > 0);
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("queue", NULL, NULL);
+	CU_add_test(s, "rank order", test_rank_order);
+	CU_add_test(s, "no room ends pass", test_no_room_ends_pass);
+	CU_add_test(s, "pass", test_pass_leaves_account_out);
+	CU_add_test(s, "floors in flood", test_floors_in_flood);
+	CU_add_test(s, "due headroom", test_due_headroom);
+	CU_add_test(s, "account fairness", test_account_fairness);
+	CU_add_test(s, "small account", test_small_account);
+	CU_add_test(s, "displacement", test_displacement);
+	CU_add_test(s, "bounds", test_bounds);
+	CU_add_test(s, "expiry", test_expiry);
+	CU_add_test(s, "random driver", test_random_driver);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_queue(ctx, queue);
+	pb_drop_context(ctx);
+	return failed != 0;
+}
