Add the settings store, the revision gate and a table with faults

Cause: settings had no durable place, and nothing kept a router from putting an older revision in force or from working on with unconfirmed settings.

Change: pb_read_tree reads all subtrees at one revision (the head is read again afterwards); pb_apply_change writes subtree, head, history and text in one transaction that checks subtree and head rows, tries again when only another subtree changed, names the winner of a conflict, and settles lost answers by the change id. Texts are kept in rows of their own (settings/text/N), so that listing the history does not transfer them. A new instance takes its first revision from peers only after several stated theirs. tests/lib/fake-table can fail, be slow, lose an answer, write late and interleave other callers.

Conclusion: one winner per revision and no lost or doubled change under the injected faults. Not covered: a real table service over HTTP.

--- /dev/null
+++ b/source/store/store-gate.c
@@ -0,0 +1,164 @@
+#include "poplarbeam/store.h"
+
+#include <stdlib.h>
+
+#define START_PEERS_MAX 8 /* peers remembered until the first revision */
+
+struct pb_settings_gate {
+	struct pb_gate_policy policy;
+	uint64_t in_force; /* 0: none yet */
+	uint64_t known; /* highest revision heard of */
+	int64_t known_us; /* when it was heard */
+	bool confirmed;
+	int64_t confirmed_us;
+	uint64_t peers[START_PEERS_MAX];
+	int peer_count;
+};
+
+struct pb_settings_gate *
+pb_new_settings_gate(
+    struct pb_context *ctx, const struct pb_gate_policy *policy)
+{
+	struct pb_settings_gate *gate = calloc(1, sizeof(*gate));
+
+	(void)ctx;
+	if (gate != NULL)
+		pb_set_gate_policy(gate, policy);
+	return gate;
+}
+
+void
+pb_drop_settings_gate(struct pb_context *ctx, struct pb_settings_gate *gate)
+{
+	(void)ctx;
+	free(gate);
+}
+
+void
+pb_set_gate_policy(
+    struct pb_settings_gate *gate, const struct pb_gate_policy *policy)
+{
+	gate->policy = *policy;
+	if (gate->policy.start_peers > START_PEERS_MAX)
+		gate->policy.start_peers = START_PEERS_MAX;
+}
+
+static void
+note_confirmation(struct pb_settings_gate *gate, int64_t asked_us)
+{
+	if (gate->confirmed && asked_us <= gate->confirmed_us)
+		return;
+	gate->confirmed = true;
+	gate->confirmed_us = asked_us;
+}
+
+static void
+note_known(
+    struct pb_context *ctx, struct pb_settings_gate *gate, uint64_t revision)
+{
+	if (revision <= gate->known)
+		return;
+	gate->known = revision;
+	gate->known_us = pb_now(ctx);
+}
+
+/*
+ * A statement confirms the revision in force only when it names exactly this
+ * one and none newer is known. An older one comes from a delayed answer or
+ * from a peer that is behind; it says nothing about newer changes.
+ */
+static void
+note_statement(
+    struct pb_settings_gate *gate, uint64_t revision, int64_t asked_us)
+{
+	if (gate->in_force != 0 && revision == gate->in_force &&
+	    gate->known == gate->in_force)
+		note_confirmation(gate, asked_us);
+}
+
+void
+pb_confirm_by_table(struct pb_context *ctx, struct pb_settings_gate *gate,
+    uint64_t revision, int64_t asked_us)
+{
+	/*
+	 * A revision is in the table before any router has it. A lower head
+	 * in answer to a later question shows that a peer's statement was
+	 * wrong; without this, one bad statement would stop every router.
+	 */
+	if (gate->known > revision && asked_us > gate->known_us) {
+		gate->known =
+		    revision > gate->in_force ? revision : gate->in_force;
+	}
+	note_known(ctx, gate, revision);
+	note_statement(gate, revision, asked_us);
+}
+
+void
+pb_confirm_by_peer(struct pb_context *ctx, struct pb_settings_gate *gate,
+    uint64_t peer, uint64_t revision, int64_t asked_us)
+{
+	int i;
+
+	if (gate->in_force == 0 && revision != 0) {
+		for (i = 0; i < gate->peer_count; i++) {
+			if (gate->peers[i] == peer)
+				break;
+		}
+		if (i == gate->peer_count && i < START_PEERS_MAX)
+			gate->peers[gate->peer_count++] = peer;
+	}
+	note_known(ctx, gate, revision);
+	note_statement(gate, revision, asked_us);
+}
+
+uint64_t
+pb_wanted_revision(const struct pb_settings_gate *gate)
+{
+	return gate->known;
+}
+
+uint64_t
+pb_revision_in_force(const struct pb_settings_gate *gate)
+{
+	return gate->in_force;
+}
+
+int
+pb_accept_revision(struct pb_context *ctx, struct pb_settings_gate *gate,
+    uint64_t revision, enum pb_settings_source source, int64_t asked_us)
+{
+	if (revision == 0) {
+		return pb_set_error(ctx, PB_EINVAL, "accept settings", "",
+		    "revision 0 means that there are no settings");
+	}
+	if (revision < gate->in_force) {
+		return pb_set_error(ctx, PB_ECONFLICT, "accept settings", "",
+		    "revision %llu is older than revision %llu in force",
+		    (unsigned long long)revision,
+		    (unsigned long long)gate->in_force);
+	}
+	if (gate->in_force == 0 && source == PB_FROM_PEER &&
+	    gate->peer_count < gate->policy.start_peers) {
+		return pb_set_error(ctx, PB_EBUSY, "accept settings", "",
+		    "%d of %d peers have stated their revision",
+		    gate->peer_count, gate->policy.start_peers);
+	}
+	gate->in_force = revision;
+	note_known(ctx, gate, revision);
+	note_statement(gate, revision, asked_us);
+	return PB_OK;
+}
+
+bool
+pb_may_take_work(struct pb_context *ctx, struct pb_settings_gate *gate)
+{
+	if (gate->in_force == 0 || !gate->confirmed)
+		return false;
+	return pb_now(ctx) - gate->confirmed_us <= gate->policy.freshness_us;
+}
+
+int64_t
+pb_confirmed_age(struct pb_context *ctx, const struct pb_settings_gate *gate)
+{
+	return gate->confirmed ? pb_now(ctx) - gate->confirmed_us : -1;
+}
--- /dev/null
+++ b/tests/test-store.c
@@ -0,0 +1,514 @@
+#include "lib/fake-table.h"
+#include "poplarbeam/store.h"
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+
+static int
+apply(struct fake_table *fake, const char *team, const char *id,
+    uint64_t expect, const char *text, struct pb_apply_result *result)
+{
+	struct pb_change change = {.team = team,
+	    .author = "ada",
+	    .change = id,
+	    .expect = expect,
+	    .text = pb_str_from(text),
+	    .deadline_us = pb_now(ctx) + 5 * PB_SEC};
+
+	return pb_apply_change(ctx, fake_table_port(fake), &change, result);
+}
+
+/* As apply, when only the result code matters. */
+static int
+apply_code(struct fake_table *fake, const char *team, const char *id,
+    uint64_t expect, const char *text)
+{
+	struct pb_apply_result result;
+	int rc = apply(fake, team, id, expect, text, &result);
+
+	pb_clear_apply_result(&result);
+	return rc;
+}
+
+#define TEXT(name) "accounts: [{name: " name ", key: key-of-" name "}]"
+
+/* Guards against a lost update and against a conflict without a name. */
+static void
+test_conflict(void)
+{
+	struct fake_table *fake = fake_new_table(1);
+	struct pb_apply_result result;
+	struct pb_settings_tree tree;
+
+	CU_ASSERT_EQUAL(apply_code(fake, "red", "c1", 0, TEXT("aaa")), PB_OK);
+	CU_ASSERT_EQUAL(apply_code(fake, "blue", "c2", 0, TEXT("bbb")), PB_OK);
+	CU_ASSERT_EQUAL(apply_code(fake, "red", "c3", 1, TEXT("ccc")), PB_OK);
+	CU_ASSERT_EQUAL(
+	    apply(fake, "red", "c4", 2, TEXT("ddd"), &result), PB_ECONFLICT);
+	CU_ASSERT_EQUAL(result.winner.revision, 3);
+	CU_ASSERT_STRING_EQUAL(result.winner.author, "ada");
+	CU_ASSERT_STRING_EQUAL(result.winner.change, "c3");
+	pb_clear_apply_result(&result);
+	/* The fleet's document is valid alone but not with blue's account. */
+	CU_ASSERT_EQUAL(
+	    apply(fake, PB_FLEET_TEAM, "c5", 0, "teams: [red]", &result),
+	    PB_EINVAL);
+	CU_ASSERT_PTR_NOT_NULL(strstr(result.report.lines.data, "\"blue\""));
+	pb_clear_apply_result(&result);
+	CU_ASSERT_EQUAL(
+	    apply_code(fake, "red", "c6", 9, TEXT("aaa")), PB_EINVAL);
+	CU_ASSERT_EQUAL(
+	    apply_code(fake, "red", "c7", 3, "\xff\xfe"), PB_EINVAL);
+	CU_ASSERT_EQUAL(pb_read_tree(ctx, fake_table_port(fake), &tree), PB_OK);
+	CU_ASSERT_EQUAL(tree.revision, 3);
+	CU_ASSERT_EQUAL(tree.count, 2);
+	CU_ASSERT_STRING_EQUAL(
+	    pb_find_subtree(&tree, "red")->text.data, TEXT("ccc"));
+	pb_clear_tree(&tree);
+	fake_drop_table(fake);
+}
+
+static void
+break_table(void *arg)
+{
+	fake_table_faults(arg)->down = true;
+}
+
+static void
+count_commit(void *arg, const struct pb_table_commit *commit)
+{
+	(void)commit;
+	break_table(arg);
+}
+
+/* Guards against a change that is reported as failed but takes effect. */
+static void
+test_lost_answer(void)
+{
+	struct fake_table *fake = fake_new_table(2);
+	struct fake_faults *faults = fake_table_faults(fake);
+	struct pb_apply_result result;
+
+	faults->lose_share = 1;
+	CU_ASSERT_EQUAL(
+	    apply(fake, "red", "c1", 0, TEXT("aaa"), &result), PB_OK);
+	CU_ASSERT_EQUAL(result.revision, 1);
+	CU_ASSERT_EQUAL(result.tries, 1);
+	/* The outage begins right after the write: it cannot be settled. */
+	fake_set_commit_hook(fake, count_commit, fake);
+	CU_ASSERT_EQUAL(
+	    apply_code(fake, "red", "c2", 1, TEXT("bbb")), PB_EUNKNOWN);
+	faults->down = false;
+	fake_set_commit_hook(fake, NULL, NULL);
+	CU_ASSERT_EQUAL(
+	    apply(fake, "red", "c2", 1, TEXT("bbb"), &result), PB_OK);
+	CU_ASSERT_EQUAL(result.revision, 2);
+	CU_ASSERT_EQUAL(result.tries, 0);
+	faults->down = true;
+	CU_ASSERT_EQUAL(
+	    apply_code(fake, "red", "c3", 2, TEXT("ccc")), PB_EUNAVAIL);
+	fake_drop_table(fake);
+}
+
+struct listing {
+	int rows;
+	uint64_t first;
+	uint64_t last;
+};
+
+static void
+take_info(void *arg, const struct pb_revision_info *info)
+{
+	struct listing *l = arg;
+
+	if (l->rows++ == 0)
+		l->first = info->revision;
+	l->last = info->revision;
+}
+
+/* Guards against endless history and a rollback to another team's text. */
+static void
+test_history(void)
+{
+	struct fake_table *fake = fake_new_table(3);
+	struct pb_table *table = fake_table_port(fake);
+	struct pb_change change = {
+	    .team = "red", .author = "bob", .change = "back"};
+	struct pb_apply_result result;
+	struct pb_subtree old;
+	struct listing l = {0, 0, 0};
+	char id[32], text[64];
+	uint64_t i;
+
+	for (i = 1; i <= PB_HISTORY_ROWS + 20; i++) {
+		bool blue = i % 10 == 0;
+
+		snprintf(id, sizeof(id), "c%d", (int)i);
+		snprintf(text, sizeof(text),
+		    "accounts: [{name: %s%d, key: k%d"
+		    "-123456}]",
+		    blue ? "b" : "r", (int)i, (int)i);
+		CU_ASSERT_EQUAL(
+		    apply_code(fake, blue ? "blue" : "red", id, i - 1, text),
+		    PB_OK);
+	}
+	CU_ASSERT_EQUAL(
+	    fake_count_rows(fake, "settings/history/"), PB_HISTORY_ROWS);
+	CU_ASSERT_EQUAL(
+	    fake_count_rows(fake, "settings/text/"), PB_HISTORY_ROWS);
+	CU_ASSERT_EQUAL(pb_list_history(ctx, table, 5, take_info, &l), PB_OK);
+	CU_ASSERT_EQUAL(l.rows, 5);
+	CU_ASSERT_EQUAL(l.first, PB_HISTORY_ROWS + 20);
+	CU_ASSERT_EQUAL(l.last, PB_HISTORY_ROWS + 16);
+	CU_ASSERT_EQUAL(pb_read_revision(ctx, table, 3, &old), PB_ENOENT);
+	CU_ASSERT_EQUAL(pb_read_revision(ctx, table, 40, &old), PB_OK);
+	CU_ASSERT_STRING_EQUAL(old.info.team, "blue");
+	pb_clear_subtree(&old);
+	/* Revision 1010 is blue's; red's text was then that of 1009. */
+	change.expect = PB_HISTORY_ROWS + 19;
+	change.deadline_us = pb_now(ctx) + PB_SEC;
+	CU_ASSERT_EQUAL(
+	    pb_rollback_change(ctx, table, &change, 1010, &result), PB_OK);
+	CU_ASSERT_EQUAL(result.revision, PB_HISTORY_ROWS + 21);
+	pb_clear_apply_result(&result);
+	CU_ASSERT_EQUAL(
+	    pb_read_revision(ctx, table, result.revision, &old), PB_OK);
+	CU_ASSERT_PTR_NOT_NULL(strstr(old.text.data, "name: r1009"));
+	pb_clear_subtree(&old);
+	CU_ASSERT_EQUAL(
+	    pb_rollback_change(ctx, table, &change, 2, &result), PB_ENOENT);
+	fake_drop_table(fake);
+}
+
+/* Guards against a tree that is changed or misread on its way to a peer. */
+static void
+test_tree_text(void)
+{
+	struct fake_table *fake = fake_new_table(4);
+	struct pb_settings_tree tree, copy;
+	struct pb_buf text = {NULL, 0, 0};
+
+	apply_code(fake, "red", "c1", 0, TEXT("a\\u00e9"));
+	CU_ASSERT_EQUAL(apply_code(fake, "red", "c1", 0, TEXT("abc")), PB_OK);
+	CU_ASSERT_EQUAL(pb_read_tree(ctx, fake_table_port(fake), &tree), PB_OK);
+	CU_ASSERT_EQUAL(pb_format_tree(ctx, &tree, &text), PB_OK);
+	CU_ASSERT_EQUAL(
+	    pb_load_tree(ctx, (struct pb_str){text.data, text.len}, &copy),
+	    PB_OK);
+	CU_ASSERT_EQUAL(copy.revision, 1);
+	CU_ASSERT_EQUAL(copy.count, 1);
+	CU_ASSERT_STRING_EQUAL(copy.subtrees[0].text.data, TEXT("abc"));
+	pb_clear_tree(&copy);
+	CU_ASSERT_EQUAL(
+	    pb_load_tree(ctx, (struct pb_str){text.data, text.len - 3}, &copy),
+	    PB_EPROTO);
+	CU_ASSERT_EQUAL(
+	    pb_load_tree(
+		ctx, pb_str_from("{\"revision\":1,\"subtrees\":[{}]}"), &copy),
+	    PB_EPROTO);
+	fake_put_row(fake, "settings/subtree/zoo", "{\"revision\":");
+	CU_ASSERT_EQUAL(
+	    pb_read_tree(ctx, fake_table_port(fake), &copy), PB_EPROTO);
+	pb_clear_tree(&tree);
+	pb_clear_buf(&text);
+	fake_drop_table(fake);
+}
+
+/* Guards against an older revision in force and against stale work. */
+static void
+test_gate(void)
+{
+	struct pb_gate_policy policy = {10 * PB_SEC, 2};
+	struct pb_settings_gate *g = pb_new_settings_gate(ctx, &policy);
+	int64_t t = pb_now(ctx);
+
+	pb_confirm_by_peer(ctx, g, 1, 6, t);
+	pb_confirm_by_peer(ctx, g, 1, 6, t);
+	CU_ASSERT_EQUAL(
+	    pb_accept_revision(ctx, g, 6, PB_FROM_PEER, t), PB_EBUSY);
+	pb_confirm_by_peer(ctx, g, 2, 5, t);
+	CU_ASSERT_EQUAL(pb_wanted_revision(g), 6);
+	CU_ASSERT_FALSE(pb_may_take_work(ctx, g));
+	/* Revision 5 is known to be old: it gives no right to new work. */
+	CU_ASSERT_EQUAL(pb_accept_revision(ctx, g, 5, PB_FROM_PEER, t), PB_OK);
+	CU_ASSERT_FALSE(pb_may_take_work(ctx, g));
+	CU_ASSERT_EQUAL(pb_accept_revision(ctx, g, 6, PB_FROM_PEER, t), PB_OK);
+	CU_ASSERT(pb_may_take_work(ctx, g));
+	CU_ASSERT_EQUAL(
+	    pb_accept_revision(ctx, g, 5, PB_FROM_TABLE, t), PB_ECONFLICT);
+	CU_ASSERT_EQUAL(pb_revision_in_force(g), 6);
+
+	pb_advance_clock(&clk, 10 * PB_SEC);
+	CU_ASSERT(pb_may_take_work(ctx, g));
+	pb_advance_clock(&clk, 1);
+	CU_ASSERT_FALSE(pb_may_take_work(ctx, g));
+	/* A read from before a suspension, and older or newer statements. */
+	pb_confirm_by_table(ctx, g, 6, t);
+	pb_confirm_by_peer(ctx, g, 3, 5, pb_now(ctx));
+	CU_ASSERT_FALSE(pb_may_take_work(ctx, g));
+	pb_confirm_by_peer(ctx, g, 3, 6, pb_now(ctx));
+	CU_ASSERT(pb_may_take_work(ctx, g));
+
+	/* A peer's false statement holds until the table contradicts it. */
+	pb_confirm_by_peer(ctx, g, 3, 900, pb_now(ctx));
+	pb_advance_clock(&clk, 11 * PB_SEC);
+	pb_confirm_by_peer(ctx, g, 2, 6, pb_now(ctx));
+	CU_ASSERT_FALSE(pb_may_take_work(ctx, g));
+	pb_confirm_by_table(ctx, g, 6, pb_now(ctx));
+	CU_ASSERT(pb_may_take_work(ctx, g));
+	CU_ASSERT_EQUAL(pb_confirmed_age(ctx, g), 0);
+	pb_drop_settings_gate(ctx, g);
+}
+
+/*
+ * Random driver: operators change three subtrees while the table fails. A
+ * change of one operator may happen in front of any call of another one.
+ */
+
+#define TEAMS 3
+#define CHANGES_MAX 400 /* in one run */
+#define NEST_MAX 2
+
+struct logged {
+	int change;
+	int team;
+	uint64_t previous;
+};
+
+struct driver {
+	struct fake_table *fake;
+	struct pb_random rnd;
+	int depth;
+	int changes;
+	int rc[CHANGES_MAX];
+	uint64_t revision[CHANGES_MAX];
+	uint64_t expect[CHANGES_MAX];
+	int team[CHANGES_MAX];
+	struct logged log[CHANGES_MAX * 2]; /* by revision; what took effect */
+	int logged;
+	uint64_t team_revision[TEAMS];
+	bool shared[TEAMS]; /* the team holds the account "shared" */
+	bool faulty; /* the oracle saw a violation */
+	int seen[8]; /* results by -rc */
+};
+
+static const char *const team_names[TEAMS] = {"blue", "green", "red"};
+
+static int
+random_below(struct driver *d, int n)
+{
+	return (int)(pb_next_random(&d->rnd) % (uint64_t)n);
+}
+
+/* The oracle: each change that takes effect follows the one before. */
+static void
+check_commit(void *arg, const struct pb_table_commit *commit)
+{
+	struct driver *d = arg;
+	struct logged *l = &d->log[++d->logged];
+	unsigned long long revision, previous;
+	char team[16] = "", change[16] = "";
+	const char *p = commit->puts[2].value.data;
+	int i;
+
+	if (sscanf(p,
+		"{\"revision\":%llu,\"team\":\"%15[a-z]\",\"author\":\"op\","
+		"\"change\":\"c%15[0-9]",
+		&revision, team, change) != 3 ||
+	    sscanf(strstr(p, "\"previous\""), "\"previous\":%llu", &previous) !=
+		1) {
+		d->faulty = true;
+		return;
+	}
+	for (i = 0; i < TEAMS - 1 && strcmp(team, team_names[i]) != 0; i++)
+		continue;
+	l->change = (int)strtol(change, NULL, 10);
+	l->team = i;
+	l->previous = previous;
+	if (revision != (uint64_t)d->logged ||
+	    previous != d->team_revision[i] ||
+	    previous > d->expect[l->change] || d->team[l->change] != i)
+		d->faulty = true;
+	d->team_revision[i] = revision;
+	d->shared[i] = strstr(commit->puts[0].value.data, "shared") != NULL;
+	if (d->shared[0] + d->shared[1] + d->shared[2] > 1)
+		d->faulty = true;
+	for (i = 1; i < d->logged; i++) {
+		if (d->log[i].change == l->change)
+			d->faulty = true;
+	}
+}
+
+static int
+send_change(struct driver *d, int n)
+{
+	struct pb_apply_result result;
+	struct pb_change change = {.team = team_names[d->team[n]],
+	    .author = "op",
+	    .expect = d->expect[n],
+	    .deadline_us = pb_now(ctx) + 2 * PB_SEC};
+	char id[16], text[96];
+	int rc;
+
+	snprintf(id, sizeof(id), "c%d", n);
+	if (n % 5 == 0) {
+		snprintf(text, sizeof(text),
+		    "accounts: [{name: shared, key: shared-key-%d}]", n);
+	} else {
+		snprintf(text, sizeof(text),
+		    "accounts: [{name: a%d, key: some-key-%d}]", n, n);
+	}
+	change.change = id;
+	change.text = pb_str_from(text);
+	rc = pb_apply_change(ctx, fake_table_port(d->fake), &change, &result);
+	if (rc == PB_ECONFLICT &&
+	    (result.winner.revision <= change.expect ||
+		strcmp(result.winner.team, change.team) != 0))
+		d->faulty = true;
+	d->rc[n] = rc;
+	d->revision[n] = result.revision;
+	pb_clear_apply_result(&result);
+	return rc;
+}
+
+static void
+run_operator(struct driver *d)
+{
+	struct pb_settings_tree tree;
+	const struct pb_subtree *sub;
+	int n;
+
+	if (d->changes == CHANGES_MAX ||
+	    pb_read_tree(ctx, fake_table_port(d->fake), &tree) != PB_OK)
+		return;
+	n = d->changes++;
+	d->team[n] = random_below(d, TEAMS);
+	sub = pb_find_subtree(&tree, team_names[d->team[n]]);
+	d->expect[n] = tree.revision;
+	if (sub != NULL && random_below(d, 2) == 0)
+		d->expect[n] = sub->info.revision;
+	pb_clear_tree(&tree);
+	d->seen[-send_change(d, n)]++;
+}
+
+static void
+interleave(void *arg)
+{
+	struct driver *d = arg;
+
+	if (d->depth >= NEST_MAX || random_below(d, 20) != 0)
+		return;
+	d->depth++;
+	run_operator(d);
+	d->depth--;
+}
+
+/* What each operator was told must agree with what took effect. */
+static void
+check_results(struct driver *d)
+{
+	int i, n, rc;
+
+	memset(fake_table_faults(d->fake), 0, sizeof(struct fake_faults));
+	fake_set_before(d->fake, NULL, NULL);
+	fake_settle_table(d->fake);
+	for (n = 0; n < d->changes; n++) {
+		uint64_t at = 0;
+
+		if (d->rc[n] == PB_EUNKNOWN) {
+			rc = send_change(d, n);
+			if (rc != PB_OK && rc != PB_ECONFLICT &&
+			    rc != PB_EINVAL)
+				d->faulty = true;
+		}
+		for (i = 1; i <= d->logged; i++) {
+			if (d->log[i].change == n)
+				at = (uint64_t)i;
+		}
+		if ((d->rc[n] == PB_OK) != (at != 0) ||
+		    (at != 0 && d->revision[n] != at))
+			d->faulty = true;
+	}
+}
+
+static void
+run_seed(uint64_t seed, int *seen)
+{
+	static struct driver d;
+	struct fake_faults *faults;
+	int i;
+
+	memset(&d, 0, sizeof(d));
+	d.rnd.state = seed;
+	d.fake = fake_new_table(seed * 7 + 1);
+	faults = fake_table_faults(d.fake);
+	fake_set_commit_hook(d.fake, check_commit, &d);
+	fake_set_before(d.fake, interleave, &d);
+	for (i = 0; i < 40; i++) {
+		faults->fail_share = random_below(&d, 3) * 0.04;
+		faults->busy_share = random_below(&d, 2) * 0.05;
+		faults->lose_share = random_below(&d, 3) * 0.15;
+		faults->delay_share = random_below(&d, 3) * 0.15;
+		faults->conflict_share = random_below(&d, 2) * 0.05;
+		faults->slow_us = random_below(&d, 3) * 30 * PB_MSEC;
+		faults->down = random_below(&d, 25) == 0;
+		run_operator(&d);
+	}
+	check_results(&d);
+	for (i = 0; i < 8; i++)
+		seen[i] += d.seen[i];
+	if (d.faulty) {
+		printf("\nseed %llu breaks the oracle\n",
+		    (unsigned long long)seed);
+		CU_FAIL("the store and the oracle disagree");
+	}
+	fake_drop_table(d.fake);
+}
+
+/*
+ * Guards against lost or doubled changes, two winners of one revision and
+ * results that do not say what happened, under races and faults.
+ */
+static void
+test_random_operators(void)
+{
+	int seen[8] = {0};
+	uint64_t seed;
+
+	for (seed = 1; seed <= 150; seed++)
+		run_seed(seed, seen);
+	printf("\n%d stored, %d conflicts, %d invalid, %d unavailable, "
+	       "%d unknown\n",
+	    seen[0], seen[-PB_ECONFLICT], seen[-PB_EINVAL], seen[-PB_EUNAVAIL],
+	    seen[-PB_EUNKNOWN]);
+	/* A driver that no longer reaches these cases would prove nothing. */
+	CU_ASSERT(seen[0] > 1000 && seen[-PB_ECONFLICT] > 100);
+	CU_ASSERT(seen[-PB_EINVAL] > 20 && seen[-PB_EUNKNOWN] > 3);
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("store", NULL, NULL);
+	CU_add_test(s, "conflict", test_conflict);
+	CU_add_test(s, "lost answer", test_lost_answer);
+	CU_add_test(s, "history", test_history);
+	CU_add_test(s, "tree text", test_tree_text);
+	CU_add_test(s, "gate", test_gate);
+	CU_add_test(s, "random operators", test_random_operators);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
