Add placement, cell and retry

Cause: the cell needs to choose upstreams under the load bound, to join that choice with queue and limits, and to contain requests that crash upstreams.

placement: load per capacity x throttle against the mean of the live upstreams, the new work included; order of choice is last location, first and second rendezvous choice, least loaded. Load reports are compared with the own work that was in flight when they were made; the rest counts as work of other owners. It is set in cautious mode and only falls afterwards, because work of a former owner may outlast the takeover window. Ruled out: the plain sum of the larger load and what was charged since, which counts own work twice. A joining upstream counts in full in the mean and only its rendezvous weight ramps up. Ruled out: ramping its share of the mean, which lets the others go to 1.30 times the real mean for the whole ramp (by arithmetic, 13/12 x 1.20). An idle upstream may take any one piece of work; if not, work larger than the floor never starts in an idle cell.

cell: suspects that find other suspects everywhere are kept outside the queue, where they would hold up their accounts. Copies of a suspect run one at a time. A crashed upstream gets no work for 1 s or until its new incarnation: without load it would be the first choice for everything.

retry: token bucket and verdicts. Resuming a stream causes no second run and costs no retry, so that all streams of a lost owner router can go on.

base: bounded LRU map, used for chat locations, fingerprints and engine models.

--- a/include/poplarbeam/cell.h
+++ b/include/poplarbeam/cell.h
@@ -32,8 +32,15 @@
 	uint32_t bytes; /* memory held while it waits */
 	int64_t wait_us; /* longest wait that is of use to the caller */
 	uint64_t fingerprint; /* 0 for none */
-	uint64_t resume_on; /* upstream that already runs it, 0 for none */
-	uint64_t avoid_upstream; /* upstream that just failed it, 0 for none */
+	/*
+	 * Upstream that already runs it, 0 for none. It is started there at
+	 * once, without regard to limits and bound, or is refused with
+	 * PB_REFUSED_NO_UPSTREAM when that upstream is gone: only the caller
+	 * knows whether it may run elsewhere.
+	 */
+	uint64_t resume_on;
+	/* Upstream that just failed it: used only when no other is live. */
+	uint64_t avoid_upstream;
 };
 
 enum pb_refusal {
@@ -64,7 +71,10 @@
 	int64_t waited_us;
 };
 
-/* Called for each action, inside the function that causes it. */
+/*
+ * Called for each action, inside the function that causes it. It must not call
+ * the cell.
+ */
 typedef void pb_action_fn(void *arg, const struct pb_action *action);
 
 enum pb_outcome {
@@ -89,24 +99,44 @@
 void pb_report_cell_load(struct pb_context *ctx, struct pb_cell *cell,
     uint64_t upstream, uint64_t work, int64_t age_us);
 
-/* Leads to exactly one action for work->id, now or later. */
+/* Starts cautious mode again, when ownership of the cell comes back. */
+void pb_begin_cell_takeover(struct pb_context *ctx, struct pb_cell *cell);
+
+/*
+ * Leads to exactly one action for work->id, now or later. PB_ECONFLICT without
+ * an action when that id already waits or runs here.
+ */
 int pb_submit_work(
     struct pb_context *ctx, struct pb_cell *cell, const struct pb_work *work);
 /* The caller went away while the work waited: no action follows. */
 void pb_cancel_work(struct pb_context *ctx, struct pb_cell *cell, uint64_t id);
-/* Ends work that was started. actual_work: units really used. */
+/*
+ * Ends work that was started. actual_work: units really used. The first
+ * PB_OUTCOME_CRASHED gives one strike to all work that is in flight on that
+ * incarnation; their own ends add none.
+ */
 void pb_finish_work(struct pb_context *ctx, struct pb_cell *cell, uint64_t id,
     enum pb_outcome outcome, uint32_t actual_work);
 
 /* Expires waiting work; returns the time of the next call, microseconds. */
 int64_t pb_tick_cell(struct pb_context *ctx, struct pb_cell *cell);
 
-/* A contained fingerprint that a peer reported. */
+/* A contained fingerprint that a peer reported; until_us: monotonic time. */
 void pb_contain_fingerprint(struct pb_context *ctx, struct pb_cell *cell,
     uint64_t fingerprint, int64_t until_us);
-/* Fingerprints contained here; returns how many were written. */
-size_t pb_read_contained(
-    struct pb_context *ctx, struct pb_cell *cell, uint64_t *out, size_t cap);
+/* A fingerprint that this cell contains, until a monotonic time. */
+struct pb_contained {
+	uint64_t fingerprint;
+	int64_t until_us;
+};
+
+/*
+ * Fingerprints contained because of crashes seen here; returns how many were
+ * written. Those reported by peers are left out, so that routers do not renew
+ * one another's containments.
+ */
+size_t pb_read_contained(struct pb_context *ctx, struct pb_cell *cell,
+    struct pb_contained *out, size_t cap);
 
 struct pb_limiter *pb_cell_limiter(struct pb_cell *cell);
 
@@ -115,7 +145,7 @@
 	struct pb_placement_stats placement;
 	uint64_t started;
 	uint64_t refused;
-	uint64_t contained;
+	uint64_t contained; /* containments because of crashes here */
 	uint32_t in_flight;
 };
 
--- a/include/poplarbeam/retry.h
+++ b/include/poplarbeam/retry.h
@@ -9,7 +9,11 @@
 
 struct pb_retry_budget;
 
-/* share: retries allowed per first attempt; burst: retries saved up at most. */
+/*
+ * share: retries allowed per first attempt; burst: retries saved up at most.
+ * A new budget is full, so that retries never exceed share x first attempts +
+ * burst.
+ */
 struct pb_retry_budget *pb_new_retry_budget(
     struct pb_context *ctx, double share, double burst);
 void pb_drop_retry_budget(
@@ -38,7 +42,10 @@
 	PB_RETRY_FAILED /* tell the caller that it failed after the start */
 };
 
-/* Decides what follows a failed attempt; takes from the budget. */
+/*
+ * Decides what follows a failed attempt. PB_RETRY_AGAIN takes one retry from
+ * the budget; PB_RETRY_RESUME causes no second run and takes none.
+ */
 enum pb_retry_verdict pb_judge_attempt(
     struct pb_retry_budget *budget, const struct pb_attempt *attempt);
 
--- /dev/null
+++ b/source/cell/cell-serve.c
@@ -0,0 +1,230 @@
+#include "cell-internal.h"
+
+#include <string.h>
+
+/* Bounds the memory that copies of suspects hold outside the queue. */
+#define PARKED_MAX 256
+
+void
+pb_fill_item(struct pb_context *ctx, struct pb_cell *cell, struct request *rq)
+{
+	const struct pb_work *work = &rq->work;
+	int64_t limit = cell->policy.queue.rank[work->rank].wait_limit_us;
+	int64_t wait = work->wait_us;
+
+	if (limit > 0 && limit < wait)
+		wait = limit;
+	rq->item = (struct pb_queue_item){.id = work->id,
+	    .account = work->account,
+	    .weight = work->weight,
+	    .rank = work->rank,
+	    .work = work->work,
+	    .bytes = work->bytes,
+	    .since_us = pb_now(ctx),
+	    .expire_us = pb_now(ctx) + wait};
+}
+
+void
+pb_queue_request(
+    struct pb_context *ctx, struct pb_cell *cell, struct request *rq)
+{
+	struct pb_queue_item *displaced = NULL;
+	int rc = pb_push_queue(ctx, cell->queue, &rq->item, &displaced);
+
+	if (rc != PB_OK)
+		pb_refuse_waiting(ctx, cell, rq,
+		    rc == PB_ETIMEDOUT ? PB_REFUSED_DEADLINE
+				       : PB_REFUSED_QUEUE_FULL);
+	pb_refuse_displaced(ctx, cell, displaced);
+}
+
+/* Order of parked requests; one that comes back keeps its place. */
+static bool
+goes_before(const struct request *a, const struct request *b)
+{
+	if (a->work.rank != b->work.rank)
+		return a->work.rank < b->work.rank;
+	if (a->since_us != b->since_us)
+		return a->since_us < b->since_us;
+	return a->work.id < b->work.id;
+}
+
+static void
+park_request(struct pb_context *ctx, struct pb_cell *cell, struct request *rq)
+{
+	struct request *prev = NULL, *next = cell->parked;
+
+	if (cell->parked_count >= PARKED_MAX) {
+		pb_refuse_waiting(ctx, cell, rq, PB_REFUSED_QUEUE_FULL);
+		return;
+	}
+	while (next != NULL && !goes_before(rq, next)) {
+		prev = next;
+		next = next->next;
+	}
+	rq->prev = prev;
+	rq->next = next;
+	if (next != NULL)
+		next->prev = rq;
+	if (prev != NULL)
+		prev->next = rq;
+	else
+		cell->parked = rq;
+	rq->parked = true;
+	cell->parked_count++;
+}
+
+void
+pb_unqueue_request(
+    struct pb_context *ctx, struct pb_cell *cell, struct request *rq)
+{
+	if (!rq->parked) {
+		pb_remove_queue(ctx, cell->queue, &rq->item);
+		return;
+	}
+	if (rq->next != NULL)
+		rq->next->prev = rq->prev;
+	if (rq->prev != NULL)
+		rq->prev->next = rq->next;
+	else
+		cell->parked = rq->next;
+	rq->parked = false;
+	cell->parked_count--;
+}
+
+void
+pb_start_request(
+    struct pb_context *ctx, struct pb_cell *cell, struct request *rq, int slot)
+{
+	struct pb_action action = {.kind = PB_ACTION_START,
+	    .id = rq->work.id,
+	    .upstream = pb_slot_upstream(cell->placement, slot),
+	    .waited_us = pb_now(ctx) - rq->since_us};
+
+	rq->upstream = action.upstream;
+	rq->incarnation = pb_slot_incarnation(cell->placement, slot);
+	pb_charge_upstream(
+	    ctx, cell->placement, slot, rq->work.chat, rq->work.work);
+	pb_link_running(cell, rq);
+	cell->suspect_slots_known = false;
+	cell->started++;
+	cell->fn(cell->arg, &action);
+}
+
+/* Slots that the request may use at all, whatever their load. */
+static uint64_t
+candidate_slots(
+    struct pb_context *ctx, struct pb_cell *cell, const struct request *rq)
+{
+	uint64_t slots = pb_live_slots(cell->placement), avoid = 0;
+	int slot;
+
+	if (rq->work.avoid_upstream != 0) {
+		slot = pb_find_slot(cell->placement, rq->work.avoid_upstream);
+		if (slot >= 0)
+			avoid = 1ULL << slot;
+		if ((slots & ~avoid) != 0)
+			slots &= ~avoid;
+	}
+	if (pb_is_suspect(ctx, cell, rq))
+		slots &= ~pb_suspect_slots(ctx, cell, rq);
+	return slots;
+}
+
+struct pass {
+	struct pb_context *ctx;
+	struct pb_cell *cell;
+	bool park; /* some request is to be parked */
+};
+
+/*
+ * Starts the request if it fits now. If not, no work behind it may take an
+ * upstream that it waits for, even work that fits there because it is smaller:
+ * it would put off the larger one for ever. Work larger than any upstream's
+ * capacity starts on an idle one; it does not make others wait for that.
+ */
+static enum pb_try_result
+try_item(void *arg, struct pb_queue_item *item, double headroom)
+{
+	struct pass *pass = arg;
+	struct pb_cell *cell = pass->cell;
+	struct request *rq = (struct request *)item;
+	uint64_t candidates = candidate_slots(pass->ctx, cell, rq);
+	uint64_t awaited = 0;
+	int rank = rq->work.rank, slot, i;
+
+	if (candidates == 0) {
+		rq->to_park = pb_is_suspect(pass->ctx, cell, rq);
+		pass->park = pass->park || rq->to_park;
+		return PB_TRY_PASS;
+	}
+	for (i = 0; i <= rank; i++)
+		awaited |= cell->awaited[i];
+	slot = pb_choose_upstream(pass->ctx, cell->placement, rq->work.chat,
+	    rq->work.work, headroom, ~candidates | awaited);
+	if (slot >= 0) {
+		pb_start_request(pass->ctx, cell, rq, slot);
+		return PB_TRY_PLACED;
+	}
+	if (!pb_fits_capacity(
+		cell->placement, rq->work.work, headroom, candidates))
+		return PB_TRY_PASS;
+	if (candidates == pb_live_slots(cell->placement))
+		return PB_TRY_NO_ROOM;
+	cell->awaited[rank] |= candidates;
+	return PB_TRY_PASS;
+}
+
+/* Moves the requests that the last pass marked out of the queue. */
+static void
+park_marked(struct pb_context *ctx, struct pb_cell *cell)
+{
+	struct request *rq, *next;
+	uint32_t i;
+
+	for (i = 0; i < cell->bucket_count; i++) {
+		for (rq = cell->buckets[i]; rq != NULL; rq = next) {
+			next = rq->chain;
+			if (!rq->to_park)
+				continue;
+			rq->to_park = false;
+			pb_unqueue_request(ctx, cell, rq);
+			park_request(ctx, cell, rq);
+		}
+	}
+}
+
+/* Queues parked requests that have found an upstream without suspects. */
+static void
+unpark(struct pb_context *ctx, struct pb_cell *cell)
+{
+	uint64_t free = pb_live_slots(cell->placement);
+	struct request *rq, *next;
+
+	cell->suspect_slots_known = false;
+	for (rq = cell->parked; rq != NULL && free != 0; rq = next) {
+		next = rq->next;
+		if (candidate_slots(ctx, cell, rq) == 0)
+			continue;
+		/* One for each slot at most; the others would come back. */
+		free &= free - 1;
+		pb_unqueue_request(ctx, cell, rq);
+		pb_queue_request(ctx, cell, rq);
+	}
+}
+
+void
+pb_serve_cell(struct pb_context *ctx, struct pb_cell *cell)
+{
+	struct pass pass = {ctx, cell, false};
+
+	unpark(ctx, cell);
+	do {
+		pass.park = false;
+		memset(cell->awaited, 0, sizeof(cell->awaited));
+		cell->suspect_slots_known = false;
+		pb_serve_queue(ctx, cell->queue, try_item, &pass);
+		if (pass.park)
+			park_marked(ctx, cell);
+	} while (pass.park);
+}
--- /dev/null
+++ b/source/placement/placement-choose.c
@@ -0,0 +1,146 @@
+#include "placement-internal.h"
+
+/* What one piece of work asks of an upstream. */
+struct demand {
+	double work;
+	double headroom;
+	uint64_t avoid;
+};
+
+static bool
+is_eligible(const struct pb_placement *pl, const struct load_view *v, int i,
+    const struct demand *d)
+{
+	const struct slot *s = &pl->slots[i];
+	double after = v->load[i] + d->work;
+
+	if (v->capacity[i] <= 0 || v->now < s->held_us ||
+	    (d->avoid >> i & 1) != 0)
+		return false;
+	if (v->load[i] <= 0)
+		return true;
+	if (after > v->capacity[i] * (1 - d->headroom))
+		return false;
+	return after <= pl->policy.floor_work ||
+	    after * v->total_capacity <=
+	    pl->policy.inner_limit * (v->total_load + d->work) * v->capacity[i];
+}
+
+/*
+ * Weight for rendezvous hashing. The throttle is left out, so that a short
+ * throttling moves no chats; it lowers the load bound instead.
+ */
+static double
+slot_weight(const struct pb_placement *pl, const struct load_view *v, int i)
+{
+	const struct slot *s = &pl->slots[i];
+	double age = (double)(v->now - s->joined_us);
+	double ramp = (double)pl->policy.ramp_us;
+
+	return age >= ramp ? s->info.capacity : s->info.capacity * age / ramp;
+}
+
+/* First and second rendezvous choice among the live slots; -1 for none. */
+static void
+rank_slots(const struct pb_placement *pl, const struct load_view *v,
+    uint64_t chat, int choice[2])
+{
+	double best[2] = {-1, -1}, score;
+	int i;
+
+	choice[0] = choice[1] = -1;
+	for (i = 0; i < pl->count; i++) {
+		if (v->capacity[i] <= 0)
+			continue;
+		score = pb_rendezvous_score(
+		    chat, pl->slots[i].info.id, slot_weight(pl, v, i));
+		if (score > best[0]) {
+			best[1] = best[0];
+			choice[1] = choice[0];
+			best[0] = score;
+			choice[0] = i;
+		} else if (score > best[1]) {
+			best[1] = score;
+			choice[1] = i;
+		}
+	}
+}
+
+static int
+least_loaded(const struct pb_placement *pl, const struct load_view *v,
+    const struct demand *d)
+{
+	double load, least = 0;
+	int i, found = -1;
+
+	for (i = 0; i < pl->count; i++) {
+		if (!is_eligible(pl, v, i, d))
+			continue;
+		load = v->load[i] / v->capacity[i];
+		if (found < 0 || load < least) {
+			least = load;
+			found = i;
+		}
+	}
+	return found;
+}
+
+static int
+located_slot(struct pb_placement *pl, uint64_t chat)
+{
+	const uint64_t *upstream = pb_find_lru(pl->locations, chat);
+
+	return upstream != NULL ? pb_find_slot(pl, *upstream) : -1;
+}
+
+int
+pb_choose_upstream(struct pb_context *ctx, struct pb_placement *pl,
+    uint64_t chat, uint32_t work, double headroom, uint64_t avoid)
+{
+	struct demand d = {work, headroom, avoid};
+	struct load_view v;
+	int choice[2], i, slot;
+
+	pb_read_loads(ctx, pl, &v);
+	if (v.total_capacity <= 0)
+		return -1;
+	if (chat != 0) {
+		slot = located_slot(pl, chat);
+		if (slot >= 0 && is_eligible(pl, &v, slot, &d))
+			return slot;
+		rank_slots(pl, &v, chat, choice);
+		for (i = 0; i < 2; i++)
+			if (choice[i] >= 0 &&
+			    is_eligible(pl, &v, choice[i], &d))
+				return choice[i];
+	}
+	return least_loaded(pl, &v, &d);
+}
+
+bool
+pb_fits_capacity(const struct pb_placement *pl, uint32_t work, double headroom,
+    uint64_t slots)
+{
+	int i;
+
+	for (i = 0; i < pl->count; i++) {
+		const struct pb_upstream_info *u = &pl->slots[i].info;
+
+		if ((slots >> i & 1) != 0 &&
+		    work <= u->capacity * u->throttle * (1 - headroom))
+			return true;
+	}
+	return false;
+}
+
+void
+pb_charge_upstream(struct pb_context *ctx, struct pb_placement *pl, int slot,
+    uint64_t chat, uint32_t work)
+{
+	struct slot *s = &pl->slots[slot];
+
+	pb_sample_slot(ctx, s);
+	s->charged += work;
+	if (chat != 0)
+		pb_set_lru(pl->locations, chat, s->info.id);
+}
--- /dev/null
+++ b/source/retry/retry-judge.c
@@ -0,0 +1,48 @@
+#include "poplarbeam/retry.h"
+
+/*
+ * More attempts than this only add load: with a handful of upstreams failing
+ * in a row, the fault is seldom in one of them.
+ */
+#define TRIES_MAX 4
+
+#define DELAY_FIRST (10 * PB_MSEC)
+#define DELAY_MAX (1 * PB_SEC)
+
+enum pb_retry_verdict
+pb_judge_attempt(
+    struct pb_retry_budget *budget, const struct pb_attempt *attempt)
+{
+	bool more = !attempt->contained && attempt->tries < TRIES_MAX &&
+	    attempt->remaining_us > 0;
+
+	/* A delivered byte shows that it ran, whatever else was reported. */
+	if (attempt->not_run && !attempt->delivered)
+		return more && pb_take_retry(budget) ? PB_RETRY_AGAIN
+						     : PB_RETRY_NOT_RUN;
+	/*
+	 * A resumed stream causes no second run, so that it costs no retry:
+	 * all streams of a lost owner router must be able to go on.
+	 */
+	if (more && attempt->resumable)
+		return PB_RETRY_RESUME;
+	if (attempt->delivered)
+		return PB_RETRY_FAILED;
+	if (more && attempt->idempotent && pb_take_retry(budget))
+		return PB_RETRY_AGAIN;
+	return PB_RETRY_UNKNOWN;
+}
+
+int64_t
+pb_retry_delay(int tries, struct pb_random *rnd)
+{
+	int64_t delay = DELAY_FIRST;
+	int i;
+
+	for (i = 1; i < tries && delay < DELAY_MAX; i++)
+		delay *= 2;
+	if (delay > DELAY_MAX)
+		delay = DELAY_MAX;
+	/* Between half and all of it, so that retries do not come in step. */
+	return (int64_t)((double)delay * (0.5 + 0.5 * pb_next_unit(rnd)));
+}
--- /dev/null
+++ b/tests/test-placement.c
@@ -0,0 +1,275 @@
+#include "poplarbeam/lru.h"
+#include "poplarbeam/placement.h"
+
+#include <CUnit/Basic.h>
+
+#define ENGINES 12
+#define CHATS 4000
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+static const struct pb_placement_policy policy = {
+    1.25, 1.20, 100, 10 * PB_SEC, 3 * PB_SEC, 65536};
+
+static void
+set(struct pb_placement *pl, uint64_t id, uint64_t incarnation, double throttle,
+    enum pb_upstream_state state)
+{
+	struct pb_upstream_info info = {
+	    id, incarnation, 10000, throttle, state};
+
+	CU_ASSERT_EQUAL(pb_set_upstream(ctx, pl, &info), PB_OK);
+}
+
+/* A placement past its takeover with engines 1 to n. */
+static struct pb_placement *
+new_cell(int n)
+{
+	struct pb_placement *pl = pb_new_placement(ctx, &policy);
+	int i;
+
+	for (i = 1; i <= n; i++)
+		set(pl, (uint64_t)i, 1, 1, PB_UP_LIVE);
+	pb_advance_clock(&clk, policy.takeover_us);
+	return pl;
+}
+
+/* Places and charges; returns the upstream, 0 for none. */
+static uint64_t
+place(struct pb_placement *pl, uint64_t chat, uint32_t work)
+{
+	int slot = pb_choose_upstream(ctx, pl, chat, work, 0, 0);
+
+	if (slot < 0)
+		return 0;
+	pb_charge_upstream(ctx, pl, slot, chat, work);
+	return pb_slot_upstream(pl, slot);
+}
+
+/* Guards against admission over the bound, which random chats would cause. */
+static void
+test_bound(void)
+{
+	struct pb_placement *pl = new_cell(ENGINES);
+	struct pb_placement_stats st;
+	struct pb_random rnd = {1};
+	uint64_t up;
+	int i;
+
+	for (i = 0; i < CHATS; i++) {
+		up = place(pl, pb_next_random(&rnd) % 20 + 1, 10 + i % 50);
+		pb_read_placement_stats(ctx, pl, &st);
+		CU_ASSERT(st.load < 2000 || up == 0 || st.max_over_mean < 1.25);
+	}
+	CU_ASSERT(st.load > 0.9 * ENGINES * 10000);
+	pb_drop_placement(ctx, pl);
+}
+
+/* Guards against a throttled upstream that is loaded as if it were not. */
+static void
+test_throttle(void)
+{
+	struct pb_placement *pl = new_cell(4);
+	double on[5] = {0};
+	uint64_t up;
+	uint64_t i;
+
+	set(pl, 4, 1, 0.25, PB_UP_LIVE);
+	for (i = 1; i < 2000; i++) {
+		up = place(pl, i, 10);
+		on[up] += up != 0 ? 10 : 0;
+	}
+	CU_ASSERT(on[1] > 4000 && on[2] > 4000 && on[3] > 4000);
+	CU_ASSERT(on[4] <= 1.2 * (on[1] + on[2] + on[3] + on[4]) / 13 + 100);
+	CU_ASSERT(on[4] > 1000);
+	pb_drop_placement(ctx, pl);
+}
+
+/* Guards against chats that move although they need not. */
+static void
+test_moves(void)
+{
+	struct pb_placement *pl = new_cell(ENGINES);
+	static uint64_t home[CHATS], again;
+	int i, moved = 0;
+
+	for (i = 0; i < CHATS; i++)
+		home[i] = place(pl, (uint64_t)i + 1, 1);
+	set(pl, 99, 1, 1, PB_UP_LIVE);
+	set(pl, 3, 1, 1, PB_UP_LEAVING);
+	for (i = 0; i < CHATS; i++)
+		pb_release_upstream(ctx, pl, home[i], 1, 1);
+	for (i = 0; i < CHATS; i++) {
+		again = place(pl, (uint64_t)i + 1, 1);
+		CU_ASSERT(again != 3 && again != 0);
+		if (again != home[i] && home[i] != 3)
+			moved++;
+		pb_release_upstream(ctx, pl, again, 1, 1);
+	}
+	CU_ASSERT_EQUAL(moved, 0);
+	pb_drop_placement(ctx, pl);
+}
+
+/* Guards against a displaced chat that leaves its new cache again. */
+static void
+test_displaced(void)
+{
+	struct pb_placement *pl = new_cell(3);
+	uint64_t home = place(pl, 7, 10), moved;
+	int i;
+
+	for (i = 0; i < 30; i++)
+		pb_charge_upstream(ctx, pl, pb_find_slot(pl, home), 0, 10);
+	moved = place(pl, 7, 10);
+	CU_ASSERT(moved != home && moved != 0);
+	for (i = 0; i < 30; i++)
+		pb_release_upstream(ctx, pl, home, 1, 10);
+	CU_ASSERT_EQUAL(place(pl, 7, 10), moved);
+	pb_drop_placement(ctx, pl);
+}
+
+/* Guards against a joining upstream that gets its full share of new chats. */
+static void
+test_ramp(void)
+{
+	struct pb_placement *pl = new_cell(3);
+	int i, step, to_new[2] = {0, 0};
+
+	set(pl, 9, 1, 1, PB_UP_LIVE);
+	for (step = 0; step < 2; step++) {
+		pb_advance_clock(&clk, step == 0 ? PB_SEC : 10 * PB_SEC);
+		for (i = 1; i <= CHATS; i++) {
+			uint64_t chat = (uint64_t)i + (uint64_t)step * CHATS;
+			uint64_t up = place(pl, chat, 1);
+
+			pb_release_upstream(ctx, pl, up, 1, 1);
+			to_new[step] += up == 9;
+		}
+	}
+	/* A weight of 0.1 against 3, then 1 against 3. */
+	CU_ASSERT(to_new[0] > 80 && to_new[0] < 190);
+	CU_ASSERT(to_new[1] > 900 && to_new[1] < 1100);
+	pb_drop_placement(ctx, pl);
+}
+
+/*
+ * Guards against a new owner that takes upstreams to be idle that still run
+ * the work of the former owner, and against that work counting for ever.
+ */
+static void
+test_takeover(void)
+{
+	struct pb_placement *pl = pb_new_placement(ctx, &policy);
+	uint64_t i, up, on1 = 0;
+
+	for (i = 1; i <= 4; i++) {
+		set(pl, i, 1, 1, PB_UP_LIVE);
+		if (i < 4)
+			pb_report_load(
+			    ctx, pl, i, i == 1 ? 4000 : 2000, 100 * PB_MSEC);
+	}
+	/* 1 reported much, 4 nothing: 4 counts as having the mean. */
+	for (i = 1; i < 400; i++) {
+		up = place(pl, 0, 10);
+		on1 += up == 1 ? 10 : 0;
+		CU_ASSERT(up != 4 || i > 100);
+	}
+	CU_ASSERT_EQUAL(on1, 0);
+	pb_advance_clock(&clk, policy.takeover_us);
+	CU_ASSERT(place(pl, 0, 10) != 1);
+	/* The former owner's work ends; own work was not counted twice. */
+	for (i = 1; i <= 4; i++)
+		pb_report_load(ctx, pl, i, i == 1 ? 0 : 1400, 0);
+	CU_ASSERT_EQUAL(place(pl, 0, 10), 1);
+	pb_drop_placement(ctx, pl);
+}
+
+/* Guards against work that is charged to the next incarnation or lost. */
+static void
+test_incarnation(void)
+{
+	struct pb_placement *pl = new_cell(2);
+	struct pb_placement_stats st;
+	uint64_t up = place(pl, 0, 50);
+
+	set(pl, up, 2, 1, PB_UP_LIVE);
+	set(pl, up, 1, 1, PB_UP_LEAVING);
+	pb_read_placement_stats(ctx, pl, &st);
+	CU_ASSERT_EQUAL(st.upstreams, 2);
+	CU_ASSERT_EQUAL(st.load, 0);
+	pb_release_upstream(ctx, pl, up, 1, 50);
+	CU_ASSERT_EQUAL(place(pl, 0, 50), up);
+	pb_read_placement_stats(ctx, pl, &st);
+	CU_ASSERT_EQUAL(st.load, 50);
+	pb_drop_placement(ctx, pl);
+}
+
+/* Guards against slots that stay in use after upstreams are gone. */
+static void
+test_slots(void)
+{
+	struct pb_placement *pl = pb_new_placement(ctx, &policy);
+	struct pb_upstream_info bad = {5000, 1, -1, 1, PB_UP_LIVE};
+	uint64_t i;
+
+	for (i = 1; i < 1000; i++) {
+		set(pl, i, 1, 1, PB_UP_LIVE);
+		CU_ASSERT_NOT_EQUAL(place(pl, i, 10), 0);
+		if (i > 40)
+			set(pl, i - 40, 1, 1, PB_UP_GONE);
+	}
+	CU_ASSERT_EQUAL(pb_set_upstream(ctx, pl, &bad), PB_EINVAL);
+	for (i = 1000; i < 1024; i++)
+		set(pl, i, 1, 1, PB_UP_LIVE);
+	bad.capacity = 1;
+	CU_ASSERT_EQUAL(pb_set_upstream(ctx, pl, &bad), PB_EBUSY);
+	pb_drop_placement(ctx, pl);
+}
+
+/* Guards against a location table that grows, or drops entries in use. */
+static void
+test_lru(void)
+{
+	struct pb_lru *lru = pb_new_lru(ctx, 100);
+	uint64_t i, *v;
+
+	for (i = 1; i <= 1000; i++) {
+		pb_set_lru(lru, i, i * 2);
+		v = pb_find_lru(lru, 1);
+		CU_ASSERT(v != NULL && *v == 2);
+		if (i % 7 == 0)
+			pb_erase_lru(lru, i);
+		CU_ASSERT(pb_lru_count(lru) <= 100);
+	}
+	CU_ASSERT_EQUAL(pb_lru_count(lru), 100);
+	CU_ASSERT_PTR_NOT_NULL(pb_find_lru(lru, 1000));
+	CU_ASSERT_PTR_NULL(pb_find_lru(lru, 800));
+	pb_drop_lru(ctx, lru);
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	pb_advance_clock(&clk, 100 * PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("placement", NULL, NULL);
+	CU_add_test(s, "bound", test_bound);
+	CU_add_test(s, "throttle", test_throttle);
+	CU_add_test(s, "moves", test_moves);
+	CU_add_test(s, "displaced", test_displaced);
+	CU_add_test(s, "ramp", test_ramp);
+	CU_add_test(s, "takeover", test_takeover);
+	CU_add_test(s, "incarnation", test_incarnation);
+	CU_add_test(s, "slots", test_slots);
+	CU_add_test(s, "location table", test_lru);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
--- /dev/null
+++ b/tests/test-retry.c
@@ -0,0 +1,150 @@
+#include "poplarbeam/retry.h"
+
+#include <CUnit/Basic.h>
+#include <pthread.h>
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+
+static enum pb_retry_verdict
+judge(struct pb_retry_budget *b, struct pb_attempt a)
+{
+	a.remaining_us = a.remaining_us == 0 ? PB_SEC : a.remaining_us;
+	a.tries = a.tries == 0 ? 1 : a.tries;
+	return pb_judge_attempt(b, &a);
+}
+
+/* Guards against a second run of a call that is not idempotent. */
+static void
+test_never_twice(void)
+{
+	struct pb_retry_budget *b = pb_new_retry_budget(ctx, 1, 100);
+	struct pb_attempt a = {0};
+
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_UNKNOWN);
+	a.delivered = true;
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_FAILED);
+	a.idempotent = true;
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_FAILED);
+	/* A report of "not run" is wrong once a byte was delivered. */
+	a.not_run = true;
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_FAILED);
+	pb_drop_retry_budget(ctx, b);
+}
+
+/* Guards against a caller that is told "not run" or "unknown" wrongly. */
+static void
+test_verdicts(void)
+{
+	struct pb_retry_budget *b = pb_new_retry_budget(ctx, 0, 1);
+
+	CU_ASSERT_EQUAL(
+	    judge(b, (struct pb_attempt){.not_run = true}), PB_RETRY_AGAIN);
+	CU_ASSERT_EQUAL(
+	    judge(b, (struct pb_attempt){.not_run = true}), PB_RETRY_NOT_RUN);
+	CU_ASSERT_EQUAL(judge(b, (struct pb_attempt){.idempotent = true}),
+	    PB_RETRY_UNKNOWN);
+	CU_ASSERT_EQUAL(
+	    judge(b, (struct pb_attempt){.resumable = true, .delivered = true}),
+	    PB_RETRY_RESUME);
+	pb_drop_retry_budget(ctx, b);
+}
+
+/* Guards against retries past the deadline, of many tries or of a request that
+ * crashes upstreams. */
+static void
+test_no_more(void)
+{
+	struct pb_retry_budget *b = pb_new_retry_budget(ctx, 1, 100);
+	struct pb_attempt a = {.not_run = true, .idempotent = true};
+
+	a.remaining_us = -1;
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_NOT_RUN);
+	a.remaining_us = 0;
+	a.tries = 4;
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_NOT_RUN);
+	a.tries = 1;
+	a.contained = true;
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_NOT_RUN);
+	a.not_run = false;
+	a.resumable = true;
+	CU_ASSERT_EQUAL(judge(b, a), PB_RETRY_UNKNOWN);
+	CU_ASSERT(pb_take_retry(b));
+	pb_drop_retry_budget(ctx, b);
+}
+
+#define THREADS 4
+#define ATTEMPTS 25000
+
+static void *
+spend(void *arg)
+{
+	struct pb_retry_budget *b = arg;
+	uintptr_t taken = 0;
+	int i;
+
+	for (i = 0; i < ATTEMPTS; i++) {
+		pb_note_first_attempt(b);
+		taken += pb_take_retry(b);
+		taken += pb_take_retry(b);
+	}
+	return (void *)taken;
+}
+
+/* Guards against a race that lets threads retry more than the share. */
+static void
+test_share_threads(void)
+{
+	struct pb_retry_budget *b = pb_new_retry_budget(ctx, 0.1, 10);
+	pthread_t t[THREADS];
+	void *taken;
+	uintptr_t total = 0;
+	int i;
+
+	for (i = 0; i < THREADS; i++)
+		pthread_create(&t[i], NULL, spend, b);
+	for (i = 0; i < THREADS; i++) {
+		pthread_join(t[i], &taken);
+		total += (uintptr_t)taken;
+	}
+	CU_ASSERT(total <= THREADS * ATTEMPTS / 10 + 10);
+	CU_ASSERT(total >= THREADS * ATTEMPTS / 10 - 10);
+	pb_drop_retry_budget(ctx, b);
+}
+
+/* Guards against delays out of bounds for any number of tries. */
+static void
+test_delay(void)
+{
+	struct pb_random rnd = {7};
+	int i;
+
+	for (i = 0; i < 200; i++) {
+		int64_t d = pb_retry_delay(i, &rnd);
+
+		CU_ASSERT(d >= 5 * PB_MSEC && d <= PB_SEC);
+		CU_ASSERT(i > 1 || d <= 10 * PB_MSEC);
+	}
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("retry", NULL, NULL);
+	CU_add_test(s, "never twice", test_never_twice);
+	CU_add_test(s, "verdicts", test_verdicts);
+	CU_add_test(s, "no more", test_no_more);
+	CU_add_test(s, "share with threads", test_share_threads);
+	CU_add_test(s, "delay", test_delay);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
