Add the router shell and tests of the HTTP client

Cause: the parts of a router needed a process that joins them, and the HTTP client had no test.

The first version of the resending test passed for a wrong reason (its second call timed out) and was rewritten to compare reused and fresh connections.

--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,162 @@
+# Shell functions that start and end a small fleet on loopback: the platform
+# stand-in, engines, applications and routers. To be sourced by bash. Only
+# processes that were started here are ended, each by its id.
+
+FLEET_BIN=${FLEET_BIN:-build/release}
+FLEET_PORT=${FLEET_PORT:-21000}
+FLEET_DIR=$(mktemp -d)
+FLEET_PIDS=
+FLEET_REGION=${FLEET_REGION:-north}
+
+platform_url="http://127.0.0.1:$FLEET_PORT"
+
+engine_port() { echo $((FLEET_PORT + 10 + $1)); }
+app_port() { echo $((FLEET_PORT + 60 + $1)); }
+caller_port() { echo $((FLEET_PORT + 100 + 10 * $1)); }
+peer_port() { echo $((FLEET_PORT + 101 + 10 * $1)); }
+rpc_port() { echo $((FLEET_PORT + 102 + 10 * $1)); }
+admin_port() { echo $((FLEET_PORT + 103 + 10 * $1)); }
+
+pid_of() { cat "$FLEET_DIR/$1.pid" 2>/dev/null; }
+
+# launch NAME COMMAND...: starts a process in the background and keeps its id.
+launch() {
+	local name=$1
+	shift
+	"$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.log" </dev/null &
+	echo $! >"$FLEET_DIR/$name.pid"
+	FLEET_PIDS="$FLEET_PIDS $!"
+	disown
+}
+
+# await SECONDS COMMAND...: repeats the command until it succeeds.
+await() {
+	local tries=$(($1 * 20))
+	shift
+	while ! "$@" >/dev/null 2>&1; do
+		tries=$((tries - 1))
+		[ $tries -le 0 ] && {
+			echo "no success in time: $*" >&2
+			return 1
+		}
+		sleep 0.05
+	done
+}
+
+answers() { curl -sf -m 2 -o /dev/null "$1"; }
+
+# register ID JSON: enters an instance into the platform's list.
+register() {
+	curl -sf -m 5 -o /dev/null -X PUT -d "$2" \
+	    "$platform_url/instances/v1/$1"
+}
+
+unregister() {
+	curl -sf -m 5 -o /dev/null -X DELETE "$platform_url/instances/v1/$1"
+}
+
+start_platform() {
+	launch platform "$FLEET_BIN/pb-platform" \
+	    --listen "127.0.0.1:$FLEET_PORT" "$@"
+	await 10 answers "$platform_url/instances/v1"
+}
+
+# upstream_entry ID SERVICE PORT STATE: an entry for the list.
+upstream_entry() {
+	printf '{"id":"%s","role":"upstream","service":"%s","region":"%s",' \
+	    "$1" "$2" "$FLEET_REGION"
+	printf '"domain":"a","address":"127.0.0.1:%s","state":"%s",' "$3" "$4"
+	printf '"incarnation":%s}' "$(date +%s%N | cut -c1-16)"
+}
+
+# start_engine N SERVICE [OPTION...]
+start_engine() {
+	local n=$1 service=$2
+	shift 2
+	launch "e$n" "$FLEET_BIN/pb-engine" --id "e$n" \
+	    --listen "127.0.0.1:$(engine_port "$n")" "$@"
+	await 10 answers "http://127.0.0.1:$(engine_port "$n")/v1/load"
+	register "e$n" \
+	    "$(upstream_entry "e$n" "$service" "$(engine_port "$n")" live)"
+}
+
+# start_app N SERVICE [OPTION...]
+start_app() {
+	local n=$1 service=$2
+	shift 2
+	launch "a$n" "$FLEET_BIN/pb-app" --id "a$n" \
+	    --listen "127.0.0.1:$(app_port "$n")" "$@"
+	await 10 answers "http://127.0.0.1:$(app_port "$n")/v1/load"
+	register "a$n" \
+	    "$(upstream_entry "a$n" "$service" "$(app_port "$n")" live)"
+}
+
+# write_router_file N: the process settings of a router.
+write_router_file() {
+	cat >"$FLEET_DIR/r$1.yaml" <<END
+instance: r$1
+fleet: demo
+region: $FLEET_REGION
+domain: $(echo "a b c" | cut -d' ' -f$((($1 - 1) % 3 + 1)))
+caller: 127.0.0.1:$(caller_port "$1")
+peer: 127.0.0.1:$(peer_port "$1")
+rpc: 127.0.0.1:$(rpc_port "$1")
+admin: 127.0.0.1:$(admin_port "$1")
+table: $platform_url
+objects: $platform_url
+instances: $platform_url
+caller_threads: ${FLEET_THREADS:-64}
+peer_threads: ${FLEET_THREADS:-64}
+END
+}
+
+register_router() {
+	register "r$1" "$(printf \
+	    '{"id":"r%s","role":"router","region":"%s","domain":"%s",' \
+	    "$1" "$FLEET_REGION" \
+	    "$(echo "a b c" | cut -d' ' -f$((($1 - 1) % 3 + 1)))"
+	printf '"address":"127.0.0.1:%s","peer":"127.0.0.1:%s",' \
+	    "$(caller_port "$1")" "$(peer_port "$1")"
+	printf '"rpc":"127.0.0.1:%s","admin":"127.0.0.1:%s",' \
+	    "$(rpc_port "$1")" "$(admin_port "$1")"
+	printf '"state":"live","incarnation":%s}' "$(date +%s%N | cut -c1-16)")"
+}
+
+start_router() {
+	write_router_file "$1"
+	launch "r$1" "$FLEET_BIN/poplarbeamd" "$FLEET_DIR/r$1.yaml"
+	await 10 answers "http://127.0.0.1:$(admin_port "$1")/healthz"
+	register_router "$1"
+}
+
+# apply_settings TEAM FILE: stores a document through router 1.
+apply_settings() {
+	"$FLEET_BIN/poplarbeam" apply \
+	    --router "127.0.0.1:$(admin_port 1)" --team "$1" --expect 0 "$2"
+}
+
+router_ready() { answers "http://127.0.0.1:$(admin_port "$1")/readyz"; }
+
+# sees_routers N COUNT: router N sees COUNT live routers.
+sees_routers() {
+	[ "$(curl -sf -m 2 "http://127.0.0.1:$(admin_port "$1")/admin/v1/status" |
+	    jq '[.routers[]|select(.health=="live")]|length')" = "$2" ]
+}
+
+# stop NAME [SIGNAL]: signals one process that was started here.
+stop() {
+	kill "-${2:-TERM}" "$(pid_of "$1")" 2>/dev/null
+}
+
+gone() { ! kill -0 "$(pid_of "$1")" 2>/dev/null; }
+
+stop_fleet() {
+	local pid
+	for pid in $FLEET_PIDS; do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
+	FLEET_PIDS=
+	[ -n "${FLEET_KEEP:-}" ] || rm -rf "$FLEET_DIR"
+}
+trap stop_fleet EXIT
--- a/source/caller/caller-run.c
+++ b/source/caller/caller-run.c
@@ -6,6 +6,7 @@
 
 #define TRIES_MAX 6 /* attempts that reached an owner */
 #define MOVES_MAX 40 /* attempts that found no owner, or the wrong one */
+#define MOVES_FORGET 8 /* then the view is believed again */
 #define MOVE_DELAY (50 * PB_MSEC) /* views agree again within seconds */
 #define CELLS_TRIED 2 /* cells that one request is offered to */
 
@@ -18,7 +19,8 @@
 	int tries;
 	int moves;
 	int cells;
-	char failed_owner[48];
+	char failed_owner[48]; /* router that declined or cannot be reached */
+	char hint[48]; /* router that it named as the owner */
 };
 
 /* The cell of the service that a chat belongs to, in order of preference. */
@@ -47,7 +49,10 @@
 	return at;
 }
 
-/* The router to ask: the owner, or the next one when that cannot be reached. */
+/*
+ * The router to ask: the one that a router named as the owner, else the owner
+ * by the view, else the next in order when that one declined.
+ */
 static const struct pb_member *
 choose_owner(struct attempts *a, const struct pb_view *view)
 {
@@ -55,12 +60,36 @@
 	const char *region = e->server->node->boot.region;
 	uint64_t cell = pb_cell_id(e->service->name, region, e->req.cell);
 	const struct pb_member *o = pb_cell_owner(view, cell, region, 0);
+	const struct pb_member *named = NULL;
 
+	if (a->hint[0] != '\0')
+		named = pb_find_member(view, pb_hash_cstr(a->hint, 0));
+	a->hint[0] = '\0';
+	if (named != NULL && named->info.role == PB_ROLE_ROUTER)
+		return named;
 	if (o != NULL && strcmp(o->info.id, a->failed_owner) == 0)
 		return pb_cell_owner(view, cell, region, 1);
 	return o;
 }
 
+/* Remembers who declined, so that the next attempt goes elsewhere. */
+static void
+note_decline(struct attempts *a, const struct pb_member *asked)
+{
+	const struct pb_run_result *run = &a->out->run;
+	bool declined = run->kind == PB_RUN_NOT_RUN &&
+	    (run->reason == PB_REFUSED_NOT_OWNER ||
+		run->reason == PB_REFUSED_STOPPING);
+
+	if (run->complete && !declined)
+		return;
+	if (run->sink_stopped || (run->kind == PB_RUN_NOT_RUN && !declined))
+		return;
+	pb_copy_str(a->failed_owner, sizeof(a->failed_owner), asked->info.id);
+	if (strcmp(run->owner, asked->info.id) != 0)
+		pb_copy_str(a->hint, sizeof(a->hint), run->owner);
+}
+
 static void
 ask_owner(struct attempts *a)
 {
@@ -70,6 +99,8 @@
 	struct pb_view *view = pb_node_view(node);
 	const struct pb_member *o = view != NULL ? choose_owner(a, view) : NULL;
 
+	pb_copy_str(
+	    e->req.failed_owner, sizeof(e->req.failed_owner), a->failed_owner);
 	if (o == NULL) {
 		memset(run, 0, sizeof(*run));
 		run->kind = PB_RUN_NOT_RUN;
@@ -80,20 +111,13 @@
 		pb_run_request(
 		    e->ctx, e->server->owner, &e->req, &a->sink->base, run);
 	} else {
-		pb_copy_str(e->req.failed_owner, sizeof(e->req.failed_owner),
-		    a->failed_owner);
 		pb_add_event(e->ctx, node->events, "relayed", e->req.id,
 		    e->req.chat, o->info.id, "%s/%d", e->service->name,
 		    e->req.cell);
 		pb_relay_request(e->ctx, node, o, &e->req, &a->sink->base, run);
-		if (!run->complete && !run->sink_stopped &&
-		    run->owner[0] == '\0' &&
-		    (run->kind == PB_RUN_UNKNOWN ||
-			run->reason == PB_REFUSED_NOT_OWNER ||
-			run->kind == PB_RUN_STARTED))
-			pb_copy_str(a->failed_owner, sizeof(a->failed_owner),
-			    o->info.id);
 	}
+	if (o != NULL)
+		note_decline(a, o);
 	if (view != NULL)
 		pb_drop_view(e->ctx, view);
 }
@@ -118,7 +142,11 @@
 	if (a->moves++ >= MOVES_MAX ||
 	    pb_now(e->ctx) + MOVE_DELAY > e->req.deadline_us)
 		return false;
-	e->ctx->clock->ops->sleep(e->ctx->clock, MOVE_DELAY);
+	/* The first move is free: most often the router named is right. */
+	if (a->moves > 1)
+		e->ctx->clock->ops->sleep(e->ctx->clock, MOVE_DELAY);
+	if (a->moves % MOVES_FORGET == 0)
+		a->failed_owner[0] = '\0';
 	return true;
 }
 
--- a/source/owner/owner-cells.c
+++ b/source/owner/owner-cells.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #define LOCATIONS 65536 /* chats remembered per cell */
-#define STRIKES_MAX 2 /* crashes until a request is contained */
 
 struct pb_owner *
 pb_new_owner(struct pb_context *ctx, struct pb_node *node)
@@ -79,7 +78,7 @@
 	p.queue.max_bytes = svc->queue_bytes;
 	p.cells = svc->cells;
 	p.containment_us = s->containment_us;
-	p.strikes = STRIKES_MAX;
+	p.strikes = s->strikes;
 	return p;
 }
 
@@ -205,6 +204,7 @@
 	const struct pb_service *svc = pb_find_service(settings, e->service);
 	const char *region = owner->node->boot.region;
 	const struct pb_member *o;
+	bool owned;
 	size_t i;
 
 	if (svc == NULL)
@@ -216,7 +216,10 @@
 			e->revision = settings->revision;
 	}
 	o = pb_cell_owner(view, e->id, region, 0);
-	e->owned = o != NULL && o->id_hash == owner->node->id_hash;
+	owned = o != NULL && o->id_hash == owner->node->id_hash;
+	if (owned && !e->owned)
+		pb_begin_cell_takeover(&e->ctx, e->cell);
+	e->owned = owned;
 	if (view->version == e->view_version)
 		return;
 	e->view_version = view->version;
--- /dev/null
+++ b/source/router/router-internal.h
@@ -0,0 +1,82 @@
+#ifndef POPLARBEAM_ROUTER_INTERNAL_H
+#define POPLARBEAM_ROUTER_INTERNAL_H
+
+#include "poplarbeam/caller.h"
+#include "poplarbeam/digest.h"
+#include "poplarbeam/node.h"
+#include "poplarbeam/owner.h"
+#include "poplarbeam/peer.h"
+#include "poplarbeam/relay.h"
+#include "poplarbeam/router.h"
+#include "poplarbeam/store.h"
+
+#include <civetweb.h>
+#include <pthread.h>
+
+enum router_thread {
+	THREAD_TIMER,
+	THREAD_LIST,
+	THREAD_SETTINGS,
+	THREAD_PROBE,
+	THREAD_DIGEST,
+	THREAD_COUNT
+};
+
+struct pb_router {
+	struct pb_node *node;
+	struct pb_owner *owner;
+
+	pthread_mutex_t members_lock;
+	struct pb_members *members;
+
+	pthread_mutex_t gate_lock;
+	struct pb_settings_gate *gate;
+	pthread_cond_t settings_kick; /* a newer revision was heard of */
+	struct pb_buf tree; /* settings in force, as handed to peers */
+	uint64_t tree_revision;
+
+	pthread_mutex_t digest_lock;
+	struct pb_digest *digest;
+	struct pb_peer_server *peer_server;
+
+	struct pb_relay_server *relay_server;
+	struct pb_caller_server *caller_server;
+	struct mg_context *admin_server;
+
+	pthread_t threads[THREAD_COUNT];
+	int thread_count;
+	_Atomic int stopping;
+	_Atomic int drain_requested;
+};
+
+/* Sleeps up to us; false once the router stops. */
+bool router_sleep(struct pb_router *r, int64_t us);
+
+/* Instances: the platform's list, evidence, the published view. */
+int router_init_members(struct pb_context *ctx, struct pb_router *r);
+int router_fetch_list(struct pb_context *ctx, struct pb_router *r);
+void router_publish_view(struct pb_context *ctx, struct pb_router *r);
+void *router_run_list(void *arg);
+void *router_run_timer(void *arg);
+void *router_run_probe(void *arg);
+
+/* Settings: reading, checking and putting in force. */
+int router_init_settings(struct pb_context *ctx, struct pb_router *r);
+/* Asks the table for the head and fetches a newer revision. */
+void router_poll_settings(struct pb_context *ctx, struct pb_router *r);
+/* A peer stated its revision at asked_us. */
+void router_hear_revision(struct pb_context *ctx, struct pb_router *r,
+    uint64_t peer, uint64_t revision, int64_t asked_us);
+void *router_run_settings(void *arg);
+
+/* Digests and what peers ask for. */
+int router_init_digest(struct pb_context *ctx, struct pb_router *r);
+void *router_run_digest(void *arg);
+/* Settings newer than known from some peer; PB_OK when a tree was fetched. */
+int router_fetch_from_peers(struct pb_context *ctx, struct pb_router *r,
+    uint64_t wanted, struct pb_settings_tree *tree);
+
+/* Operators' HTTP surface. */
+int router_start_admin(struct pb_context *ctx, struct pb_router *r);
+
+#endif
--- /dev/null
+++ b/source/router/router-settings.c
@@ -0,0 +1,158 @@
+#include "router-internal.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <time.h>
+
+#define POLL_DEFAULT (1 * PB_SEC) /* before the settings say it */
+#define FRESHNESS_DEFAULT (10 * PB_SEC)
+#define START_PEERS 2 /* peers that must state a revision at a start */
+
+int
+router_init_settings(struct pb_context *ctx, struct pb_router *r)
+{
+	struct pb_gate_policy policy = {FRESHNESS_DEFAULT, START_PEERS};
+
+	pthread_mutex_init(&r->gate_lock, NULL);
+	pthread_cond_init(&r->settings_kick, NULL);
+	r->gate = pb_new_settings_gate(ctx, &policy);
+	if (r->gate == NULL)
+		return pb_set_error(
+		    ctx, PB_ENOMEM, "settings", NULL, "out of memory");
+	return PB_OK;
+}
+
+/* Puts a checked tree in force when the gate allows it. */
+static void
+put_in_force(struct pb_context *ctx, struct pb_router *r,
+    struct pb_settings *settings, const struct pb_settings_tree *tree,
+    enum pb_settings_source source, int64_t asked_us)
+{
+	struct pb_gate_policy policy = {settings->freshness_us, START_PEERS};
+	struct pb_buf text = {0};
+	int rc;
+
+	if (pb_format_tree(ctx, tree, &text) != PB_OK) {
+		pb_drop_settings(ctx, settings);
+		return;
+	}
+	pthread_mutex_lock(&r->gate_lock);
+	rc = pb_accept_revision(
+	    ctx, r->gate, settings->revision, source, asked_us);
+	if (rc == PB_OK) {
+		pb_set_gate_policy(r->gate, &policy);
+		pb_clear_buf(&r->tree);
+		r->tree = text;
+		r->tree_revision = settings->revision;
+		pb_set_retry_share(r->node->retries, settings->retry_share);
+		/* Under the lock, so that revisions come into force in order.
+		 */
+		pb_set_node_settings(ctx, r->node, settings);
+	}
+	pthread_mutex_unlock(&r->gate_lock);
+	if (rc != PB_OK) {
+		pb_clear_buf(&text);
+		pb_drop_settings(ctx, settings);
+		return;
+	}
+	pb_count(r->node->metrics, PB_COUNT_SETTINGS_APPLIED, 1);
+	pb_add_event(ctx, r->node->events, "settings", NULL, 0, NULL,
+	    "revision %" PRIu64 " in force, from %s", tree->revision,
+	    source == PB_FROM_TABLE ? "the table service" : "a peer");
+	pb_log(ctx, PB_INFO, "settings", NULL, NULL,
+	    "revision %" PRIu64 " is in force", tree->revision);
+	pb_sync_owner(ctx, r->owner);
+}
+
+/* Fetches the settings, from the table service or else from a peer. */
+static void
+fetch_settings(struct pb_context *ctx, struct pb_router *r, uint64_t wanted)
+{
+	struct pb_settings_report report = {0};
+	enum pb_settings_source source = PB_FROM_TABLE;
+	int64_t asked_us = pb_now(ctx);
+	struct pb_settings_tree tree;
+	struct pb_settings *settings;
+
+	memset(&tree, 0, sizeof(tree));
+	if (pb_read_tree(ctx, r->node->table, &tree) != PB_OK ||
+	    tree.revision < wanted) {
+		pb_clear_tree(&tree);
+		memset(&tree, 0, sizeof(tree));
+		source = PB_FROM_PEER;
+		if (router_fetch_from_peers(ctx, r, wanted, &tree) != PB_OK)
+			return;
+	}
+	settings = pb_parse_tree(ctx, &tree, &report);
+	if (settings != NULL)
+		put_in_force(ctx, r, settings, &tree, source, asked_us);
+	else
+		pb_log(ctx, PB_ERROR, "settings", NULL, NULL,
+		    "revision %" PRIu64 " is not valid here: %s", tree.revision,
+		    report.lines.data != NULL ? report.lines.data : "");
+	pb_clear_report(&report);
+	pb_clear_tree(&tree);
+}
+
+void
+router_poll_settings(struct pb_context *ctx, struct pb_router *r)
+{
+	int64_t asked_us = pb_now(ctx);
+	uint64_t head, version, wanted, current;
+	int rc = pb_read_head(ctx, r->node->table, &head, &version);
+
+	pthread_mutex_lock(&r->gate_lock);
+	if (rc == PB_OK)
+		pb_confirm_by_table(ctx, r->gate, head, asked_us);
+	wanted = pb_wanted_revision(r->gate);
+	current = pb_revision_in_force(r->gate);
+	pthread_mutex_unlock(&r->gate_lock);
+	if (wanted > current)
+		fetch_settings(ctx, r, wanted);
+}
+
+void
+router_hear_revision(struct pb_context *ctx, struct pb_router *r, uint64_t peer,
+    uint64_t revision, int64_t asked_us)
+{
+	pthread_mutex_lock(&r->gate_lock);
+	pb_confirm_by_peer(ctx, r->gate, peer, revision, asked_us);
+	if (pb_wanted_revision(r->gate) > pb_revision_in_force(r->gate))
+		pthread_cond_signal(&r->settings_kick);
+	pthread_mutex_unlock(&r->gate_lock);
+}
+
+/* Waits for the next poll, or until a newer revision is heard of. */
+static void
+wait_for_poll(struct pb_router *r)
+{
+	struct pb_settings *s = pb_node_settings(r->node);
+	struct pb_context ctx = pb_node_context(r->node);
+	int64_t us = s != NULL ? s->poll_us : POLL_DEFAULT;
+	struct timespec until;
+
+	if (s != NULL)
+		pb_drop_settings(&ctx, s);
+	clock_gettime(CLOCK_REALTIME, &until);
+	us += until.tv_nsec / 1000;
+	until.tv_sec += us / PB_SEC;
+	until.tv_nsec = us % PB_SEC * 1000;
+	pthread_mutex_lock(&r->gate_lock);
+	if (!atomic_load(&r->stopping))
+		pthread_cond_timedwait(
+		    &r->settings_kick, &r->gate_lock, &until);
+	pthread_mutex_unlock(&r->gate_lock);
+}
+
+void *
+router_run_settings(void *arg)
+{
+	struct pb_router *r = arg;
+	struct pb_context ctx = pb_node_context(r->node);
+
+	while (!atomic_load(&r->stopping)) {
+		router_poll_settings(&ctx, r);
+		wait_for_poll(r);
+	}
+	return NULL;
+}
--- /dev/null
+++ b/tests/test-upstream.c
@@ -0,0 +1,274 @@
+#include "poplarbeam/caller.h"
+#include "poplarbeam/upstream.h"
+
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * A server that answers each connection with the next script and closes it,
+ * and counts the requests that it received.
+ */
+struct server {
+	int fd;
+	char address[48];
+	const char **scripts; /* NULL entry: close without an answer */
+	int count;
+	_Atomic int requests;
+	bool keep; /* serve a second request on the first connection */
+	pthread_t thread;
+};
+
+static struct pb_context *ctx;
+
+static bool
+read_request(int fd)
+{
+	/* A kept connection that stays silent does not block the next one. */
+	struct timeval limit = {0, 300000};
+	char buf[4096];
+	ssize_t n;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	n = recv(fd, buf, sizeof(buf), 0);
+
+	return n > 0;
+}
+
+static void *
+serve(void *arg)
+{
+	struct server *s = arg;
+	int i = 0, fd;
+
+	while (i < s->count && (fd = accept(s->fd, NULL, NULL)) >= 0) {
+		do {
+			if (!read_request(fd))
+				break;
+			s->requests++;
+			if (s->scripts[i] != NULL)
+				send(fd, s->scripts[i], strlen(s->scripts[i]),
+				    MSG_NOSIGNAL);
+			i++;
+		} while (s->keep && i < s->count);
+		close(fd);
+	}
+	return NULL;
+}
+
+static void
+start(struct server *s, const char **scripts, int count, bool keep)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sin);
+
+	memset(s, 0, sizeof(*s));
+	s->scripts = scripts;
+	s->count = count;
+	s->keep = keep;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	s->fd = socket(AF_INET, SOCK_STREAM, 0);
+	CU_ASSERT_EQUAL(bind(s->fd, (struct sockaddr *)&sin, len), 0);
+	listen(s->fd, 8);
+	getsockname(s->fd, (struct sockaddr *)&sin, &len);
+	snprintf(s->address, sizeof(s->address), "127.0.0.1:%d",
+	    ntohs(sin.sin_port));
+	pthread_create(&s->thread, NULL, serve, s);
+}
+
+static void
+stop(struct server *s)
+{
+	shutdown(s->fd, SHUT_RDWR);
+	pthread_join(s->thread, NULL);
+	close(s->fd);
+}
+
+static int
+call(struct pb_client *client, const char *address, bool fresh,
+    struct pb_buffer_sink *sink, struct pb_call_result *res)
+{
+	struct pb_call c = {.peer = "e1",
+	    .address = address,
+	    .method = "POST",
+	    .target = "/x",
+	    .body = pb_str_from("hello"),
+	    .fresh = fresh,
+	    .connect_us = PB_SEC,
+	    .total_us = 5 * PB_SEC};
+
+	pb_init_buffer_sink(sink, 1 << 20);
+	return pb_call_http(ctx, client, &c, &sink->base, res);
+}
+
+/* Guards against a truncated or unframed answer that counts as complete. */
+static void
+test_truncated(void)
+{
+	const char *scripts[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345"
+	    "\r\n",
+	    "HTTP/1.1 200 OK\r\n\r\n12345",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n12345",
+	};
+	struct pb_client *client = pb_new_client(ctx, 4);
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	struct server s;
+	int i;
+
+	start(&s, scripts, 4, false);
+	for (i = 0; i < 4; i++) {
+		int rc = call(client, s.address, true, &sink, &res);
+
+		CU_ASSERT_EQUAL(rc == PB_OK, i == 3);
+		CU_ASSERT_EQUAL(res.complete, i == 3);
+		CU_ASSERT_TRUE(res.sent);
+		CU_ASSERT_STRING_EQUAL(sink.body.data, "12345");
+		pb_clear_buf(&sink.body);
+	}
+	stop(&s);
+	pb_drop_client(ctx, client);
+}
+
+/* Guards against "not sent" said of a request that may have been sent. */
+static void
+test_sent(void)
+{
+	const char *scripts[] = {NULL};
+	struct pb_client *client = pb_new_client(ctx, 4);
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	struct server s;
+
+	start(&s, scripts, 1, false);
+	CU_ASSERT_EQUAL(
+	    call(client, s.address, true, &sink, &res), PB_EUNKNOWN);
+	CU_ASSERT_TRUE(res.sent);
+	stop(&s);
+	CU_ASSERT_EQUAL(
+	    call(client, s.address, true, &sink, &res), PB_EUNAVAIL);
+	CU_ASSERT_FALSE(res.sent);
+	pb_drop_client(ctx, client);
+}
+
+static int
+count_requests(bool fresh)
+{
+	const char *scripts[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", NULL,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+	struct pb_client *client = pb_new_client(ctx, 4);
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	struct server s;
+
+	start(&s, scripts, 3, true);
+	CU_ASSERT_EQUAL(call(client, s.address, false, &sink, &res), PB_OK);
+	pb_clear_buf(&sink.body);
+	call(client, s.address, fresh, &sink, &res);
+	pb_clear_buf(&sink.body);
+	stop(&s);
+	pb_drop_client(ctx, client);
+	return s.requests;
+}
+
+/*
+ * Guards against a second run: libcurl sends a request again when a reused
+ * connection breaks before the answer, here the second of two. A call on a
+ * fresh connection must be sent once.
+ */
+static void
+test_no_resend(void)
+{
+	CU_ASSERT_EQUAL(count_requests(false), 3);
+	CU_ASSERT_EQUAL(count_requests(true), 2);
+}
+
+struct seen {
+	struct pb_buf text;
+	int calls;
+};
+
+static int
+keep_event(void *arg, const char *data, size_t len)
+{
+	struct seen *s = arg;
+
+	s->calls++;
+	return pb_append_buf(&s->text, data, len);
+}
+
+/* Guards against a partial event that reaches the caller before a resume. */
+static void
+test_sse_pieces(void)
+{
+	static const char stream[] =
+	    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: [DONE]\n\n";
+	size_t cut;
+
+	for (cut = 1; cut < sizeof(stream) - 1; cut++) {
+		struct pb_sse sse = {0};
+		struct seen seen = {0};
+
+		pb_feed_sse(&sse, stream, cut, keep_event, &seen);
+		CU_ASSERT(seen.text.len == 0 ||
+		    seen.text.data[seen.text.len - 1] == '\n');
+		CU_ASSERT_EQUAL(sse.last_id,
+		    seen.text.len >= 31 ? 2 : (seen.text.len >= 15 ? 1 : 0));
+		CU_ASSERT_FALSE(sse.done);
+		pb_feed_sse(&sse, stream + cut, sizeof(stream) - 1 - cut,
+		    keep_event, &seen);
+		CU_ASSERT_EQUAL(seen.text.len, sizeof(stream) - 1);
+		CU_ASSERT_TRUE(sse.done);
+		CU_ASSERT_EQUAL(sse.last_id, 2);
+		pb_clear_buf(&seen.text);
+		pb_clear_sse(&sse);
+	}
+}
+
+/* Guards against a resume that repeats the event that broke. */
+static void
+test_sse_reset(void)
+{
+	struct pb_sse sse = {0};
+	struct seen seen = {0};
+
+	pb_feed_sse(&sse, "id: 1\ndata: a\n\nid: 2\nda", 23, keep_event, &seen);
+	pb_reset_sse(&sse);
+	CU_ASSERT_EQUAL(sse.last_id, 1);
+	pb_feed_sse(&sse, "id: 2\ndata: b\n\n", 15, keep_event, &seen);
+	CU_ASSERT_STRING_EQUAL(
+	    seen.text.data, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+	pb_clear_buf(&seen.text);
+	pb_clear_sse(&sse);
+}
+
+int
+main(void)
+{
+	unsigned int failed;
+	CU_pSuite s;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	ctx = pb_new_context(pb_system_clock(), NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("upstream", NULL, NULL);
+	CU_add_test(s, "truncated", test_truncated);
+	CU_add_test(s, "sent", test_sent);
+	CU_add_test(s, "no resend", test_no_resend);
+	CU_add_test(s, "sse pieces", test_sse_pieces);
+	CU_add_test(s, "sse reset", test_sse_reset);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	curl_global_cleanup();
+	return failed != 0;
+}
