Add at-most-once claims over the table port

Cause: non-idempotent calls with a key must run at most once, also when the table service loses answers, is down, or applies a write late.

Change: a claim is one compare-and-set before any byte is sent; the row is read only after a conflict or an unknown answer. No attempt takes over another's claimed row. A claim whose write may have arrived and cannot be read back ends as unavailable and goes to a bounded backlog; the repair marks the row not_run, also when it is absent or holds another attempt's not_run, because a write on its way would otherwise still take effect. If the router dies before the repair, the row is shown as in progress until running_us and as unknown after that. Outcomes that cannot be recorded use the same backlog. Bodies above 64 KiB are left out and repeats are told so. Expiry deletes one page of at most 64 rows by one checked commit. Ruled out: a second "sending" write per call. It costs a third write of a budget of 400 a second, and its own answer can be lost in the same way. Interface: pb_claim gains mine, maybe_written and answer_omitted; the policy gains backlog; pb_new_claim_backlog, pb_drop_claim_backlog and pb_repair_claims are new. Existing signatures are unchanged.

--- /dev/null
+++ b/tests/test-claim.c
@@ -0,0 +1,426 @@
+#include "poplarbeam/claim.h"
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/fake-claim-table.h"
+
+/* Cases of the claim one by one; test-claim-random.c drives them at random. */
+
+#define FP 77 /* fingerprint of the request under test */
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+static struct fake_claim_table fake;
+static struct pb_claim_policy policy;
+
+static int
+set_up(void)
+{
+	pb_init_manual_clock(&clk, 1000 * PB_SEC);
+	fake_init_claims(&fake, &clk);
+	policy = (struct pb_claim_policy){5 * PB_SEC, 600 * PB_SEC,
+	    86400 * PB_SEC, "r1", pb_new_claim_backlog(ctx)};
+	return 0;
+}
+
+static void
+tear_down(void)
+{
+	pb_drop_claim_backlog(ctx, policy.backlog);
+	fake_clear_claims(&fake);
+}
+
+static enum pb_claim_state
+take(const char *attempt, struct pb_claim *claim)
+{
+	return pb_take_claim(ctx, &fake.base, &policy, "acct", "key", FP,
+	    attempt, pb_now(ctx) + 2 * PB_SEC, claim);
+}
+
+/* State that a repeat sees, without keeping a claim it may get. */
+static enum pb_claim_state
+probe(const char *attempt)
+{
+	struct pb_claim claim;
+	enum pb_claim_state state = take(attempt, &claim);
+
+	pb_clear_claim(&claim);
+	return state;
+}
+
+static int
+settle(struct pb_claim *claim, const char *body, size_t len)
+{
+	struct pb_str answer = {body, len};
+
+	return pb_settle_claim(
+	    ctx, &fake.base, &policy, claim, 201, "application/json", answer);
+}
+
+/* Guards against a second run and against a changed recorded answer. */
+static void
+test_repeat(void)
+{
+	static const char body[] = {'a', '\0', (char)0xff, '"', 'z'};
+	struct pb_claim a, b;
+
+	set_up();
+	CU_ASSERT_EQUAL(take("a1", &a), PB_CLAIM_MINE);
+	CU_ASSERT(pb_may_send_claim(ctx, &policy, &a));
+	CU_ASSERT_EQUAL(fake.commits, 1);
+	CU_ASSERT_EQUAL(probe("a2"), PB_CLAIM_RUNNING);
+	CU_ASSERT_EQUAL(settle(&a, body, sizeof(body)), PB_OK);
+	CU_ASSERT_FALSE(pb_may_send_claim(ctx, &policy, &a));
+	CU_ASSERT_EQUAL(take("a3", &b), PB_CLAIM_DONE);
+	CU_ASSERT_FALSE(pb_may_send_claim(ctx, &policy, &b));
+	CU_ASSERT_EQUAL(b.status, 201);
+	CU_ASSERT_EQUAL(b.answer.len, sizeof(body));
+	CU_ASSERT_EQUAL(memcmp(b.answer.data, body, sizeof(body)), 0);
+	CU_ASSERT_STRING_EQUAL(b.content_type, "application/json");
+	CU_ASSERT_FALSE(b.answer_omitted);
+	pb_clear_claim(&a);
+	pb_clear_claim(&b);
+	tear_down();
+}
+
+/* Guards against one key serving two different requests. */
+static void
+test_mismatch(void)
+{
+	struct pb_claim a, b;
+
+	set_up();
+	CU_ASSERT_EQUAL(take("a1", &a), PB_CLAIM_MINE);
+	CU_ASSERT_EQUAL(pb_take_claim(ctx, &fake.base, &policy, "acct", "key",
+			    FP + 1, "a2", pb_now(ctx) + PB_SEC, &b),
+	    PB_CLAIM_MISMATCH);
+	CU_ASSERT_FALSE(pb_may_send_claim(ctx, &policy, &b));
+	pb_clear_claim(&a);
+	pb_clear_claim(&b);
+	tear_down();
+}
+
+/* Guards against two (account, key) pairs that share a row. */
+static void
+test_row_names(void)
+{
+	char longkey[400];
+	struct pb_claim a, b, c, d;
+
+	set_up();
+	memset(longkey, 'k', sizeof(longkey) - 1);
+	longkey[sizeof(longkey) - 1] = '\0';
+	pb_take_claim(ctx, &fake.base, &policy, "a/b", "c", FP, "a1", 1, &a);
+	pb_take_claim(ctx, &fake.base, &policy, "a", "b/c", FP, "a2", 1, &b);
+	CU_ASSERT_STRING_NOT_EQUAL(a.row, b.row);
+	pb_take_claim(ctx, &fake.base, &policy, "a", longkey, FP, "a3", 1, &c);
+	longkey[398] = 'x';
+	pb_take_claim(ctx, &fake.base, &policy, "a", longkey, FP, "a4", 1, &d);
+	CU_ASSERT_STRING_NOT_EQUAL(c.row, d.row);
+	CU_ASSERT_EQUAL(fake.count, 4);
+	pb_clear_claim(&a);
+	pb_clear_claim(&b);
+	pb_clear_claim(&c);
+	pb_clear_claim(&d);
+	/* A cut attempt id could be taken for another attempt's. */
+	longkey[60] = '\0';
+	CU_ASSERT_EQUAL(take(longkey, &a), PB_CLAIM_UNAVAILABLE);
+	pb_clear_claim(&a);
+	tear_down();
+}
+
+/* Guards against a lost answer that makes a claim look foreign or absent. */
+static void
+test_lost_answer(void)
+{
+	static const enum fake_fault faults[] = {
+	    FAKE_LOSE, FAKE_DROP, FAKE_LATE, FAKE_REFUSE, FAKE_BUSY};
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		struct pb_claim a;
+
+		set_up();
+		fake.hold_late = true;
+		fake.script[0] = faults[i];
+		fake.script_len = 1;
+		CU_ASSERT_EQUAL(take("a1", &a), PB_CLAIM_MINE);
+		CU_ASSERT(pb_may_send_claim(ctx, &policy, &a));
+		fake_land_late(&fake);
+		CU_ASSERT_EQUAL(probe("a2"), PB_CLAIM_RUNNING);
+		fake.script[0] = faults[i];
+		fake.script_len = 1;
+		CU_ASSERT_EQUAL(settle(&a, "x", 1), PB_OK);
+		fake_land_late(&fake);
+		CU_ASSERT_EQUAL(settle(&a, "x", 1), PB_OK);
+		CU_ASSERT_EQUAL(probe("a3"), PB_CLAIM_DONE);
+		pb_clear_claim(&a);
+		tear_down();
+	}
+}
+
+/* Claims while the first write ends in fault and every later call fails. */
+static void
+take_and_lose(enum fake_fault fault, struct pb_claim *a)
+{
+	fake.script[0] = fault;
+	fake.script_len = 1;
+	fake.chance[FAKE_REFUSE] = 1.0; /* after the scripted commit */
+	CU_ASSERT_EQUAL(take("a1", a), PB_CLAIM_UNAVAILABLE);
+	CU_ASSERT_FALSE(pb_may_send_claim(ctx, &policy, a));
+	CU_ASSERT(a->maybe_written);
+	fake.chance[FAKE_REFUSE] = 0;
+}
+
+/*
+ * Guards against a claim that was refused as "not run" and whose row, written
+ * now or later, is shown as in progress or unknown for ever.
+ */
+static void
+test_unknown_claim(void)
+{
+	static const enum fake_fault faults[] = {
+	    FAKE_LOSE, FAKE_DROP, FAKE_LATE};
+	size_t i;
+
+	for (i = 0; i < sizeof(faults) / sizeof(faults[0]); i++) {
+		struct pb_claim a, b;
+
+		set_up();
+		fake.hold_late = true;
+		take_and_lose(faults[i], &a);
+		if (faults[i] == FAKE_LOSE)
+			CU_ASSERT_EQUAL(probe("a2"), PB_CLAIM_RUNNING);
+		CU_ASSERT_EQUAL(
+		    pb_repair_claims(ctx, &fake.base, &policy, 10), 0);
+		fake_land_late(&fake);
+		CU_ASSERT_EQUAL(take("a3", &b), PB_CLAIM_MINE);
+		CU_ASSERT_FALSE(pb_may_send_claim(ctx, &policy, &a));
+		pb_clear_claim(&a);
+		pb_clear_claim(&b);
+		tear_down();
+	}
+}
+
+/* Guards against a second run when the router dies before the repair. */
+static void
+test_unknown_claim_crash(void)
+{
+	struct pb_claim a;
+
+	set_up();
+	take_and_lose(FAKE_LOSE, &a);
+	pb_clear_claim(&a);
+	pb_drop_claim_backlog(ctx, policy.backlog);
+	policy.backlog = pb_new_claim_backlog(ctx);
+	CU_ASSERT_EQUAL(probe("a2"), PB_CLAIM_RUNNING);
+	pb_advance_clock(&clk, 601 * PB_SEC);
+	CU_ASSERT_EQUAL(probe("a3"), PB_CLAIM_UNKNOWN);
+	tear_down();
+}
+
+/* Guards against a repair of a claim that touches another attempt's row. */
+static void
+test_repair_foreign(void)
+{
+	struct pb_claim a, b;
+
+	set_up();
+	take_and_lose(FAKE_DROP, &a);
+	CU_ASSERT_EQUAL(take("b1", &b), PB_CLAIM_MINE);
+	CU_ASSERT_EQUAL(pb_repair_claims(ctx, &fake.base, &policy, 10), 0);
+	CU_ASSERT_EQUAL(probe("c1"), PB_CLAIM_RUNNING);
+	CU_ASSERT_EQUAL(pb_release_claim(ctx, &fake.base, &policy, &a), PB_OK);
+	CU_ASSERT_EQUAL(probe("c2"), PB_CLAIM_RUNNING);
+	CU_ASSERT_EQUAL(settle(&a, "x", 1), PB_ECONFLICT);
+	CU_ASSERT_EQUAL(settle(&b, "y", 1), PB_OK);
+	CU_ASSERT_EQUAL(probe("c3"), PB_CLAIM_DONE);
+	pb_clear_claim(&a);
+	pb_clear_claim(&b);
+	tear_down();
+}
+
+/* Guards against sending under a claim after a long pause. */
+static void
+test_send_window(void)
+{
+	struct pb_claim a, b;
+
+	set_up();
+	CU_ASSERT_EQUAL(take("a1", &a), PB_CLAIM_MINE);
+	pb_advance_clock(&clk, 5 * PB_SEC);
+	CU_ASSERT(pb_may_send_claim(ctx, &policy, &a));
+	pb_advance_clock(&clk, 1);
+	CU_ASSERT_FALSE(pb_may_send_claim(ctx, &policy, &a));
+	CU_ASSERT_EQUAL(pb_release_claim(ctx, &fake.base, &policy, &a), PB_OK);
+	CU_ASSERT_EQUAL(take("a2", &b), PB_CLAIM_MINE);
+	CU_ASSERT(pb_may_send_claim(ctx, &policy, &b));
+	/* A late second release must not free the new attempt's claim. */
+	a.mine = true;
+	CU_ASSERT_EQUAL(pb_release_claim(ctx, &fake.base, &policy, &a), PB_OK);
+	CU_ASSERT_EQUAL(probe("a3"), PB_CLAIM_RUNNING);
+	CU_ASSERT_EQUAL(pb_abandon_claim(ctx, &fake.base, &policy, &b), PB_OK);
+	CU_ASSERT_EQUAL(probe("a4"), PB_CLAIM_UNKNOWN);
+	pb_clear_claim(&a);
+	pb_clear_claim(&b);
+	tear_down();
+}
+
+/* Guards against claims that outlive the deadline or write while refused. */
+static void
+test_outage(void)
+{
+	struct pb_claim a;
+
+	set_up();
+	fake.down = true;
+	CU_ASSERT_EQUAL(take("a1", &a), PB_CLAIM_UNAVAILABLE);
+	CU_ASSERT_EQUAL(pb_now(ctx), 2 * PB_SEC);
+	CU_ASSERT_FALSE(a.maybe_written);
+	CU_ASSERT_EQUAL(fake.count, 0);
+	fake.down = false;
+	/* Slow: the first write ends after the deadline, yet it is ours. */
+	fake.slow_us = 3 * PB_SEC;
+	CU_ASSERT_EQUAL(take("a2", &a), PB_CLAIM_MINE);
+	CU_ASSERT(pb_may_send_claim(ctx, &policy, &a));
+	pb_advance_clock(&clk, 2 * PB_SEC + 1);
+	CU_ASSERT_FALSE(pb_may_send_claim(ctx, &policy, &a));
+	pb_clear_claim(&a);
+	tear_down();
+}
+
+/* Guards against an outcome that is forgotten when the table is down. */
+static void
+test_settle_outage(void)
+{
+	struct pb_claim a, b;
+
+	set_up();
+	CU_ASSERT_EQUAL(take("a1", &a), PB_CLAIM_MINE);
+	fake.down = true;
+	CU_ASSERT_EQUAL(settle(&a, "answer", 6), PB_EUNAVAIL);
+	CU_ASSERT_EQUAL(pb_repair_claims(ctx, &fake.base, &policy, 10), 1);
+	fake.down = false;
+	CU_ASSERT_EQUAL(probe("a2"), PB_CLAIM_RUNNING);
+	CU_ASSERT_EQUAL(pb_repair_claims(ctx, &fake.base, &policy, 10), 0);
+	CU_ASSERT_EQUAL(take("a3", &b), PB_CLAIM_DONE);
+	CU_ASSERT_EQUAL(b.answer.len, 6);
+	pb_clear_claim(&a);
+	pb_clear_claim(&b);
+	tear_down();
+}
+
+/* Guards against rows of unbounded size and against a cut recorded answer. */
+static void
+test_large_answer(void)
+{
+	char *body = calloc(1, PB_CLAIM_ANSWER_MAX + 1);
+	struct pb_claim a, b;
+	int over;
+
+	for (over = 0; over <= 1; over++) {
+		set_up();
+		CU_ASSERT_EQUAL(take("a1", &a), PB_CLAIM_MINE);
+		CU_ASSERT_EQUAL(
+		    settle(&a, body, PB_CLAIM_ANSWER_MAX + (size_t)over),
+		    PB_OK);
+		CU_ASSERT_EQUAL(take("a2", &b), PB_CLAIM_DONE);
+		CU_ASSERT_EQUAL(b.answer_omitted, over == 1);
+		CU_ASSERT_EQUAL(
+		    b.answer.len, over == 1 ? 0 : PB_CLAIM_ANSWER_MAX);
+		CU_ASSERT_EQUAL(b.status, 201);
+		pb_clear_claim(&a);
+		pb_clear_claim(&b);
+		tear_down();
+	}
+	free(body);
+}
+
+/* Guards against running under a row that this version cannot read. */
+static void
+test_malformed_row(void)
+{
+	static const char *const values[] = {"[]", "{\"state\":\"new\"}",
+	    "{\"state\":\"done\",\"attempt\":\"x\",\"fingerprint\":\"4d\","
+	    "\"time\":1,\"status\":200,\"body64\":\"a\"}",
+	    "{\"state\":\"not_run\",\"attempt\":\"x\",\"fingerprint\":\"zz\","
+	    "\"time\":1}"};
+	size_t i;
+
+	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		struct pb_table_put put = {
+		    "claim/acct/key", pb_str_from(values[i])};
+		struct pb_table_commit c = {NULL, 0, &put, 1, NULL, 0};
+
+		set_up();
+		fake.base.ops->commit(ctx, &fake.base, &c);
+		CU_ASSERT_EQUAL(probe("a1"), PB_CLAIM_UNKNOWN);
+		tear_down();
+	}
+}
+
+/* Guards against expiry that skips rows, deletes young ones or never wraps. */
+static void
+test_expire(void)
+{
+	char cursor[160] = "", key[16];
+	struct pb_claim a;
+	int i, deleted = 0;
+
+	set_up();
+	for (i = 0; i < 25; i++) {
+		snprintf(key, sizeof(key), "k%02d", i);
+		if (i == 20)
+			pb_advance_clock(&clk, 86400 * PB_SEC + 1);
+		pb_take_claim(ctx, &fake.base, &policy, "acct", key, FP, key,
+		    pb_now(ctx) + PB_SEC, &a);
+		pb_clear_claim(&a);
+	}
+	fake.script[0] = FAKE_BUSY;
+	fake.script_len = 1;
+	CU_ASSERT_EQUAL(pb_expire_claims(ctx, &fake.base, &policy, cursor,
+			    sizeof(cursor), 10),
+	    PB_EBUSY);
+	CU_ASSERT_STRING_EQUAL(cursor, "");
+	fake.commits = 0;
+	for (i = 0; i < 3; i++)
+		deleted += pb_expire_claims(
+		    ctx, &fake.base, &policy, cursor, sizeof(cursor), 10);
+	CU_ASSERT_EQUAL(deleted, 20);
+	CU_ASSERT_EQUAL(fake.commits, 2);
+	CU_ASSERT_EQUAL(fake.count, 5);
+	CU_ASSERT_STRING_EQUAL(cursor, "");
+	tear_down();
+}
+
+int
+main(void)
+{
+	CU_pSuite s;
+	unsigned int failed;
+
+	pb_init_manual_clock(&clk, 1000 * PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("claim", NULL, NULL);
+	CU_add_test(s, "repeat", test_repeat);
+	CU_add_test(s, "mismatch", test_mismatch);
+	CU_add_test(s, "row names", test_row_names);
+	CU_add_test(s, "lost answer", test_lost_answer);
+	CU_add_test(s, "unknown claim", test_unknown_claim);
+	CU_add_test(s, "unknown claim, crash", test_unknown_claim_crash);
+	CU_add_test(s, "repair of a foreign row", test_repair_foreign);
+	CU_add_test(s, "send window", test_send_window);
+	CU_add_test(s, "outage", test_outage);
+	CU_add_test(s, "settle in an outage", test_settle_outage);
+	CU_add_test(s, "large answer", test_large_answer);
+	CU_add_test(s, "malformed row", test_malformed_row);
+	CU_add_test(s, "expire", test_expire);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
