--- a/source/store/store-history.c
+++ b/source/store/store-history.c
@@ -114,6 +114,8 @@
 	sub = pb_find_subtree(&tree, team);
 	at = sub != NULL ? sub->info.revision : 0;
 	info.previous = sub != NULL ? sub->info.previous : 0;
+	if (revision > tree.revision)
+		at = 0; /* not made yet */
 	pb_clear_tree(&tree);
 	/* The chain of a team's changes has at most the kept revisions. */
 	while (at > revision) {
