--- a/tests/scripts/platform.sh
+++ b/tests/scripts/platform.sh
@@ -4,7 +4,7 @@
 # and against faults that are injected differently from what tests assume.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-bin=build/release/pb-platform
+bin=build/${VARIANT:-release}/pb-platform
 [ -x "$bin" ] || { echo "$bin is not built"; exit 2; }
 work=$(mktemp -d)
 pid=
