--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -56,8 +56,8 @@
 }
 
 start_platform() {
-	launch platform "$FLEET_BIN/pb-platform" \
-	    --listen "127.0.0.1:$FLEET_PORT" "$@"
+	launch platform "$FLEET_BIN/pb-platform" --threads 128 \
+	    --port "$FLEET_PORT" "$@"
 	await 10 answers "$platform_url/instances/v1"
 }
 
--- a/source/platform/platform-http.h
+++ b/source/platform/platform-http.h
@@ -6,8 +6,8 @@
 #include "poplarbeam/base.h"
 
 /*
- * HTTP client of the platform adapters: a pool of libcurl handles for one
- * base URL, usable from many threads.
+ * HTTP client of the platform adapters: calls to one base URL, usable from many
+ * threads.
  */
 
 struct pb_http_pool;
@@ -40,7 +40,7 @@
  * a write of which bytes may have arrived; PB_EPROTO for a malformed response
  * to a read.
  */
-int pb_call_http(struct pb_context *ctx, struct pb_http_pool *pool,
+int pb_call_platform(struct pb_context *ctx, struct pb_http_pool *pool,
     const struct pb_http_call *call, struct pb_http_reply *reply);
 
 /*
--- a/source/platform/platform-lists.c
+++ b/source/platform/platform-lists.c
@@ -111,7 +111,7 @@
 
 	*out = NULL;
 	*count = 0;
-	if ((rc = pb_call_http(ctx, l->pool, &call, &reply)) != PB_OK ||
+	if ((rc = pb_call_platform(ctx, l->pool, &call, &reply)) != PB_OK ||
 	    (rc = pb_check_http_status(ctx, l->pool, &call, &reply)) != PB_OK)
 		goto out;
 	root = pb_parse_http_body(ctx, l->pool, &call, &reply);
@@ -169,7 +169,7 @@
 	if (pb_append_fmt(&path, "/objects/v1/") == PB_OK &&
 	    pb_append_escaped(&path, key, true) == PB_OK) {
 		call->path = path.data;
-		rc = pb_call_http(ctx, o->pool, call, reply);
+		rc = pb_call_platform(ctx, o->pool, call, reply);
 		if (rc == PB_OK)
 			rc = pb_check_http_status(ctx, o->pool, call, reply);
 	}
--- a/source/platform/platform-table.c
+++ b/source/platform/platform-table.c
@@ -65,7 +65,7 @@
 		goto out;
 	}
 	call.path = path.data;
-	if ((rc = pb_call_http(ctx, t->pool, &call, &reply)) != PB_OK ||
+	if ((rc = pb_call_platform(ctx, t->pool, &call, &reply)) != PB_OK ||
 	    (rc = pb_check_http_status(ctx, t->pool, &call, &reply)) != PB_OK)
 		goto out;
 	root = pb_parse_http_body(ctx, t->pool, &call, &reply);
@@ -136,7 +136,7 @@
 		return pb_set_error(ctx, PB_EINVAL, call.step,
 		    pb_http_peer(t->pool), "a value is not JSON");
 	call.body = pb_str_from(text);
-	rc = pb_call_http(ctx, t->pool, &call, &reply);
+	rc = pb_call_platform(ctx, t->pool, &call, &reply);
 	if (rc == PB_OK)
 		rc = pb_check_http_status(ctx, t->pool, &call, &reply);
 	/* A 404 comes from something that is not the table service. */
@@ -168,7 +168,7 @@
 		PB_OK)
 		goto out;
 	call.path = path.data;
-	if ((rc = pb_call_http(ctx, t->pool, &call, &reply)) != PB_OK ||
+	if ((rc = pb_call_platform(ctx, t->pool, &call, &reply)) != PB_OK ||
 	    (rc = pb_check_http_status(ctx, t->pool, &call, &reply)) != PB_OK)
 		goto out;
 	root = pb_parse_http_body(ctx, t->pool, &call, &reply);
--- a/source/router/router-internal.h
+++ b/source/router/router-internal.h
@@ -5,7 +5,6 @@
 #include "poplarbeam/digest.h"
 #include "poplarbeam/node.h"
 #include "poplarbeam/owner.h"
-#include "poplarbeam/peer.h"
 #include "poplarbeam/relay.h"
 #include "poplarbeam/router.h"
 #include "poplarbeam/store.h"
@@ -18,7 +17,6 @@
 	THREAD_LIST,
 	THREAD_SETTINGS,
 	THREAD_PROBE,
-	THREAD_DIGEST,
 	THREAD_COUNT
 };
 
@@ -37,7 +35,6 @@
 
 	pthread_mutex_t digest_lock;
 	struct pb_digest *digest;
-	struct pb_peer_server *peer_server;
 
 	struct pb_relay_server *relay_server;
 	struct pb_caller_server *caller_server;
--- a/source/router/router-start.c
+++ b/source/router/router-start.c
@@ -1,6 +1,5 @@
 #include "router-internal.h"
 
-#include <curl/curl.h>
 #include <stdlib.h>
 
 #define PLATFORM_LIMIT (2 * PB_SEC) /* for one call to the platform */
@@ -63,7 +62,6 @@
 	    [THREAD_LIST] = router_run_list,
 	    [THREAD_SETTINGS] = router_run_settings,
 	    [THREAD_PROBE] = router_run_probe,
-	    [THREAD_DIGEST] = router_run_digest,
 	};
 	int i;
 
@@ -83,7 +81,6 @@
 
 	if (r == NULL)
 		return NULL;
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	mg_init_library(0);
 	r->node = pb_new_node(ctx, boot);
 	if (r->node == NULL)
@@ -176,9 +173,6 @@
 	pb_drop_relay_server(ctx, r->relay_server);
 	if (r->admin_server != NULL)
 		mg_stop(r->admin_server);
-	pb_drop_peer_server(ctx, r->peer_server);
-	if (r->digest != NULL)
-		pb_drop_digest(ctx, r->digest);
 	if (r->gate != NULL)
 		pb_drop_settings_gate(ctx, r->gate);
 	if (r->members != NULL)
--- a/source/upstream/upstream-client.c
+++ b/source/upstream/upstream-client.c
@@ -35,6 +35,8 @@
 	(void)ctx;
 	if (client == NULL)
 		return NULL;
+	/* Counted by libcurl, so that each client may do it. */
+	curl_global_init(CURL_GLOBAL_DEFAULT);
 	client->idle_max = idle_max;
 	for (i = 0; i < POOL_SLOTS; i++)
 		pthread_mutex_init(&client->slots[i].lock, NULL);
@@ -67,6 +69,7 @@
 		clear_slot(&client->slots[i]);
 		pthread_mutex_destroy(&client->slots[i].lock);
 	}
+	curl_global_cleanup();
 	free(client);
 }
 
--- a/standin/pb-engine.c
+++ b/standin/pb-engine.c
@@ -353,7 +353,7 @@
 	unsigned int after =
 	    (unsigned int)json_integer_value(json_object_get(body, "after"));
 	struct stream *s;
-	struct pb_str prompt = PB_STR_NONE;
+	struct pb_str prompt;
 	char *copy = NULL;
 	unsigned int work = 0;
 
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -3,7 +3,6 @@
 
 #include <CUnit/Basic.h>
 #include <arpa/inet.h>
-#include <curl/curl.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -256,7 +255,6 @@
 	unsigned int failed;
 	CU_pSuite s;
 
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	ctx = pb_new_context(pb_system_clock(), NULL);
 	CU_initialize_registry();
 	s = CU_add_suite("upstream", NULL, NULL);
@@ -269,6 +267,5 @@
 	failed = CU_get_number_of_failures();
 	CU_cleanup_registry();
 	pb_drop_context(ctx);
-	curl_global_cleanup();
 	return failed != 0;
 }
