Join digests and ONC RPC to the router; test answers under failure

Cause: routers learned of each other only from the platform's list, so a dead owner stayed owner until the list said otherwise.

Change: a digest thread with one exchange with a random peer each period; facts for router state, revision, leaving upstreams, contained fingerprints and, for services of several cells, account demand; settings fetched from a peer when the table service fails. The revision in force goes before each digest, because the digest's own fact is shared by all routers and may be relayed: it can tell of a newer revision but cannot confirm one.

--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -89,6 +89,10 @@
     __attribute__((format(printf, 2, 3)));
 void pb_clear_buf(struct pb_buf *buf);
 
+/* Writes and reads 8 bytes in network byte order. */
+void pb_put_u64(uint8_t *out, uint64_t value);
+uint64_t pb_get_u64(const uint8_t *in);
+
 /* Memory that lives as long as one request; freed as a whole. */
 struct pb_arena;
 
--- a/source/base/base-string.c
+++ b/source/base/base-string.c
@@ -89,3 +89,23 @@
 	free(buf->data);
 	memset(buf, 0, sizeof(*buf));
 }
+
+void
+pb_put_u64(uint8_t *out, uint64_t value)
+{
+	int i;
+
+	for (i = 0; i < 8; i++)
+		out[i] = (uint8_t)(value >> (56 - 8 * i));
+}
+
+uint64_t
+pb_get_u64(const uint8_t *in)
+{
+	uint64_t v = 0;
+	int i;
+
+	for (i = 0; i < 8; i++)
+		v = v << 8 | in[i];
+	return v;
+}
--- a/source/router/router-internal.h
+++ b/source/router/router-internal.h
@@ -5,6 +5,7 @@
 #include "poplarbeam/digest.h"
 #include "poplarbeam/node.h"
 #include "poplarbeam/owner.h"
+#include "poplarbeam/peer.h"
 #include "poplarbeam/relay.h"
 #include "poplarbeam/router.h"
 #include "poplarbeam/store.h"
@@ -17,6 +18,7 @@
 	THREAD_LIST,
 	THREAD_SETTINGS,
 	THREAD_PROBE,
+	THREAD_DIGEST,
 	THREAD_COUNT
 };
 
@@ -35,6 +37,8 @@
 
 	pthread_mutex_t digest_lock;
 	struct pb_digest *digest;
+	struct pb_peer_server *peer_server;
+	struct pb_peer_counts control; /* bytes of control traffic */
 
 	struct pb_relay_server *relay_server;
 	struct pb_caller_server *caller_server;
@@ -68,7 +72,14 @@
 
 /* Digests and what peers ask for. */
 int router_init_digest(struct pb_context *ctx, struct pb_router *r);
+int router_start_peer(struct pb_context *ctx, struct pb_router *r);
 void *router_run_digest(void *arg);
+/* States what this router knows. */
+void router_state_facts(struct pb_context *ctx, struct pb_router *r);
+/* Takes over what a peer stated. */
+void router_take_fact(void *arg, const struct pb_fact *fact);
+/* Tells the limiters of owned cells what the other cells see. */
+void router_share_demand(struct pb_context *ctx, struct pb_router *r);
 /* Settings newer than known from some peer; PB_OK when a tree was fetched. */
 int router_fetch_from_peers(struct pb_context *ctx, struct pb_router *r,
     uint64_t wanted, struct pb_settings_tree *tree);
--- a/source/router/router-start.c
+++ b/source/router/router-start.c
@@ -62,6 +62,7 @@
 	    [THREAD_LIST] = router_run_list,
 	    [THREAD_SETTINGS] = router_run_settings,
 	    [THREAD_PROBE] = router_run_probe,
+	    [THREAD_DIGEST] = router_run_digest,
 	};
 	int i;
 
@@ -98,7 +99,8 @@
 		pb_log_error(ctx, PB_WARN, NULL);
 	router_publish_view(ctx, r);
 	router_poll_settings(ctx, r);
-	if (start_servers(ctx, r) != PB_OK || start_threads(ctx, r) != PB_OK)
+	if (router_start_peer(ctx, r) != PB_OK ||
+	    start_servers(ctx, r) != PB_OK || start_threads(ctx, r) != PB_OK)
 		goto fail;
 	pb_log(ctx, PB_INFO, "start", NULL, NULL, "serving callers on %s",
 	    boot->caller);
@@ -173,6 +175,9 @@
 	pb_drop_relay_server(ctx, r->relay_server);
 	if (r->admin_server != NULL)
 		mg_stop(r->admin_server);
+	pb_drop_peer_server(ctx, r->peer_server);
+	if (r->digest != NULL)
+		pb_drop_digest(ctx, r->digest);
 	if (r->gate != NULL)
 		pb_drop_settings_gate(ctx, r->gate);
 	if (r->members != NULL)
--- /dev/null
+++ b/tests/scripts/fleet-lib.sh
@@ -0,0 +1,130 @@
+# Shell functions for scripted runs with real processes. Sourced by bash from
+# the repository's root; every scenario prints lines that are the same each
+# time, which the caller compares with an expected file.
+
+. scripts/fleet.sh
+
+key="demo-key-copenhagen"
+
+# start_demo_fleet ROUTERS ENGINES APPS: starts all and waits until ready.
+start_demo_fleet() {
+	local n
+	start_platform
+	for n in $(seq "$2"); do
+		start_engine "$n" layout --token-us "${TOKEN_US:-5000}"
+	done
+	# Not in the list: tells what the answers should be, at once.
+	launch oracle "$FLEET_BIN/pb-engine" --id oracle --token-us 1 \
+	    --prefill 1000000000 --listen "127.0.0.1:$(engine_port 49)"
+	for n in $(seq "$3"); do start_app "$n" orders; done
+	for n in $(seq "$1"); do start_router "$n"; done
+	apply_settings fleet examples/demo/fleet.yaml >/dev/null
+	apply_settings shop "${TEAM_FILE:-examples/demo/shop.yaml}" >/dev/null
+	for n in $(seq "$1"); do
+		await 15 router_ready "$n"
+		await 15 sees_routers "$n" "$1"
+	done
+}
+
+# chat_body I WORDS: a streamed request whose answer is a function of I.
+chat_body() {
+	printf '{"model":"layout","stream":true,"max_tokens":%s,' "$2"
+	printf '"messages":[{"role":"user","content":"sheet %s"}]}' "$1"
+}
+
+# begin_chats FIRST COUNT WORDS ROUTER...: streams in the background, spread
+# over the routers.
+begin_chats() {
+	local first=$1 count=$2 words=$3 i router
+	shift 3
+	for i in $(seq "$first" $((first + count - 1))); do
+		router=$(eval echo "\${$((i % $# + 1))}")
+		curl -sN -m 60 -H "Authorization: Bearer $key" \
+		    -H "X-Poplarbeam-Rank: urgent" -H "Expect:" \
+		    -o "$FLEET_DIR/chat$i" \
+		    -w '%{http_code} %{exitcode}\n' \
+		    -d "$(chat_body "$i" "$words")" \
+		    "http://127.0.0.1:$(caller_port "$router")/v1/chat/completions" \
+		    >"$FLEET_DIR/code$i" 2>/dev/null &
+		echo $! >>"$FLEET_DIR/chats"
+	done
+}
+
+# end_chats: waits for the streams in the background.
+end_chats() {
+	local pid
+	for pid in $(cat "$FLEET_DIR/chats"); do
+		wait "$pid" 2>/dev/null
+	done
+	rm -f "$FLEET_DIR/chats"
+}
+
+words_of() { grep -o '"content":"[^"]*"' "$1" | cut -d'"' -f4 | tr -d '\n'; }
+
+# truth I WORDS: the answer as an engine outside the fleet gives it.
+truth() {
+	curl -sN -m 30 -H "X-Request-Id: truth$1" -d "$(chat_body "$1" "$2")" \
+	    "http://127.0.0.1:$(engine_port 49)/v1/chat/completions" \
+	    >"$FLEET_DIR/truth"
+	words_of "$FLEET_DIR/truth"
+}
+
+# count_chats FIRST COUNT WORDS: prints whole, failed and wrong answers. An
+# answer is whole when it ends with [DONE] in a clean end of the transfer. A
+# whole answer with other words than the engine's is wrong.
+count_chats() {
+	local i whole=0 refused=0 failed=0 wrong=0 want
+	for i in $(seq "$1" $(($1 + $2 - 1))); do
+		if [ "$(cat "$FLEET_DIR/code$i")" = "200 0" ] &&
+		    grep -q '^data: \[DONE\]' "$FLEET_DIR/chat$i"; then
+			want=$(truth "$i" "$3")
+			if [ "$(words_of "$FLEET_DIR/chat$i")" = "$want" ]; then
+				whole=$((whole + 1))
+			else
+				wrong=$((wrong + 1))
+			fi
+		elif grep -q '"type":"not_run"' "$FLEET_DIR/chat$i"; then
+			refused=$((refused + 1))
+		else
+			failed=$((failed + 1))
+		fi
+	done
+	echo "$whole whole, $refused not run, $failed failed, $wrong wrong"
+}
+
+# owner_of SERVICE: number of the router that owns the service's cell 0.
+owner_of() {
+	local n
+	for n in $(seq "${ROUTERS:-3}"); do
+		gone "r$n" && continue
+		curl -sf -m 2 "http://127.0.0.1:$(admin_port "$n")/admin/v1/status" |
+		    jq -e --arg s "$1" \
+		    '.cells[]|select(.service==$s and .owner)' >/dev/null && {
+			echo "$n"
+			return
+		}
+	done
+}
+
+# metric N NAME: value of a counter of router N.
+metric() {
+	curl -sf -m 2 "http://127.0.0.1:$(admin_port "$1")/metrics" |
+	    awk -v n="poplarbeam_$2" '$1 == n {print $2}'
+}
+
+# order KEY BODY ROUTER: sends a call with an idempotency key.
+order() {
+	curl -s -m 30 -H "Authorization: Bearer $key" \
+	    -H "Idempotency-Key: $1" -H "Content-Type: text/plain" \
+	    -o "$FLEET_DIR/order" -w '%{http_code}' -d "$2" \
+	    "http://127.0.0.1:$(caller_port "$3")/orders/new"
+}
+
+runs_of() {
+	curl -sf -m 2 "http://127.0.0.1:$(app_port 1)/control/runs" |
+	    jq --arg b "$1" '.runs[$b] // 0'
+}
+
+faults() {
+	curl -sf -m 5 -o /dev/null -d "$1" "$platform_url/control/faults"
+}
