--- a/source/settings/settings-field.c
+++ b/source/settings/settings-field.c
@@ -110,6 +110,9 @@
 	double base = value / kind->scale;
 	const struct unit *u = kind->units;
 
+	/* 0.1 s becomes 99999.999... us in binary. */
+	if (kind->scale != 1)
+		base = (double)(int64_t)(base + 0.5);
 	if (value == 0) {
 		for (; u[1].name != NULL; u++)
 			continue;
@@ -223,10 +226,12 @@
 read_value(struct pb_check *c, const struct pb_node *node, const char *path,
     const struct pb_field *f, void *base)
 {
-	void *p = (char *)base + f->offset;
+	void *p;
 
+	/* Maps of nodes only have no base. */
 	if (f->type == PB_FIELD_NODE)
 		return;
+	p = (char *)base + f->offset;
 	if (node->kind != PB_NODE_SCALAR) {
 		pb_report_fault(c, node->line, path,
 		    "expected a single value, found a %s",
@@ -318,8 +323,10 @@
 			return i;
 	}
 	for (i = 0; i < s->rank_count; i++) {
+		if (s->rank[i].name[0] == '\0')
+			continue; /* refused before */
 		len += (size_t)snprintf(names + len, sizeof(names) - len,
-		    "%s%s", i > 0 ? ", " : "", s->rank[i].name);
+		    "%s%s", len > 0 ? ", " : "", s->rank[i].name);
 	}
 	pb_report_fault(c, node->line, path,
 	    "expected the name of a rank (%s), found \"%s\"", names,
