--- a/include/poplarbeam/settings.h
+++ b/include/poplarbeam/settings.h
@@ -67,7 +67,7 @@
 	struct pb_rank_policy rank[PB_RANKS_MAX];
 	int default_rank; /* of accounts that name none */
 	int service_count;
-	struct pb_service *services;
+	struct pb_service *services; /* sorted by name */
 	int account_count;
 	struct pb_account *accounts; /* sorted by key_hash */
 	/* Accounts sorted by id; NULL in a snapshot that was built by hand. */
@@ -117,6 +117,15 @@
 struct pb_settings *pb_parse_settings(struct pb_context *ctx,
     const struct pb_settings_text *texts, size_t count, uint64_t revision,
     struct pb_settings_report *report);
+/*
+ * As pb_parse_settings, but takes the services and accounts of teams that are
+ * not among the texts from an older snapshot. The texts must include the
+ * fleet's document when there is one, and it must be the one that the older
+ * snapshot was parsed with: ranks and defaults are resolved in the snapshot.
+ */
+struct pb_settings *pb_parse_changes(struct pb_context *ctx,
+    const struct pb_settings *old, const struct pb_settings_text *texts,
+    size_t count, uint64_t revision, struct pb_settings_report *report);
 struct pb_settings *pb_keep_settings(struct pb_settings *settings);
 void pb_drop_settings(struct pb_context *ctx, struct pb_settings *settings);
 
--- a/include/poplarbeam/store.h
+++ b/include/poplarbeam/store.h
@@ -70,6 +70,14 @@
 /* Checks and merges a tree; NULL when a check failed, see the report. */
 struct pb_settings *pb_parse_tree(struct pb_context *ctx,
     const struct pb_settings_tree *tree, struct pb_settings_report *report);
+/*
+ * As pb_parse_tree, but parses only the subtrees that changed since "old" was
+ * made from an earlier state of the tree; all of them when the fleet's
+ * document changed. old may be NULL.
+ */
+struct pb_settings *pb_parse_tree_changes(struct pb_context *ctx,
+    const struct pb_settings *old, const struct pb_settings_tree *tree,
+    struct pb_settings_report *report);
 
 /* A tree as JSON text, in which routers hand settings to one another. */
 int pb_format_tree(struct pb_context *ctx, const struct pb_settings_tree *tree,
--- a/source/settings/settings-parse.c
+++ b/source/settings/settings-parse.c
@@ -91,8 +91,9 @@
 }
 
 struct pb_settings *
-pb_parse_settings(struct pb_context *ctx, const struct pb_settings_text *texts,
-    size_t count, uint64_t revision, struct pb_settings_report *report)
+pb_parse_changes(struct pb_context *ctx, const struct pb_settings *old,
+    const struct pb_settings_text *texts, size_t count, uint64_t revision,
+    struct pb_settings_report *report)
 {
 	struct pb_check c = {.ctx = ctx, .report = report, .file = "settings"};
 	int before = report->count;
@@ -108,6 +109,8 @@
 	c.settings->refs = 1;
 	pb_set_fleet_defaults(&c);
 	check_fleet_text(&c, texts, count);
+	if (old != NULL)
+		pb_carry_over(&c, old, texts, count);
 	check_team_texts(&c, texts, count);
 	pb_check_unique(&c);
 out:
@@ -130,3 +133,10 @@
 	}
 	return c.settings;
 }
+
+struct pb_settings *
+pb_parse_settings(struct pb_context *ctx, const struct pb_settings_text *texts,
+    size_t count, uint64_t revision, struct pb_settings_report *report)
+{
+	return pb_parse_changes(ctx, NULL, texts, count, revision, report);
+}
--- a/source/settings/settings-private.h
+++ b/source/settings/settings-private.h
@@ -25,7 +25,10 @@
 	struct pb_node *last;
 };
 
-/* Where a service or an account was declared, for messages. */
+/*
+ * Where a service or an account was declared, for messages. Items that were
+ * carried over from an older snapshot have their team as file and line 0.
+ */
 struct pb_origin {
 	const char *file;
 	int line;
@@ -104,13 +107,22 @@
 int pb_read_rank(
     struct pb_check *c, const struct pb_node *node, const char *path);
 
+/* Adds an uninitialised item; NULL after a fault. */
+struct pb_service *pb_add_service(
+    struct pb_check *c, const char *file, int line);
+struct pb_account *pb_add_account(
+    struct pb_check *c, const char *file, int line);
+/* Adds the items of an older snapshot whose teams are not among the texts. */
+void pb_carry_over(struct pb_check *c, const struct pb_settings *old,
+    const struct pb_settings_text *texts, size_t count);
+
 void pb_set_fleet_defaults(struct pb_check *c);
 void pb_check_fleet(struct pb_check *c, const struct pb_node *root);
 void pb_check_team(struct pb_check *c, const struct pb_node *root);
 /* Reads defaults.service and defaults.account. */
 void pb_check_defaults(
     struct pb_check *c, const struct pb_node *node, const char *path);
-/* Checks names, prefixes and keys over all teams; sorts the accounts. */
+/* Checks names, prefixes and keys over all teams; sorts the items. */
 void pb_check_unique(struct pb_check *c);
 
 #endif
--- a/source/settings/settings-team.c
+++ b/source/settings/settings-team.c
@@ -6,9 +6,6 @@
 #include <string.h>
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
-/* Many times the target size; bounds the memory of a faulty document. */
-#define SERVICES_MAX 1024 /* over all teams */
-#define ACCOUNTS_MAX 100000 /* over all teams */
 #define KEY_MIN 8 /* characters; a shorter key can be guessed */
 #define KEY_MAX 256
 #define CELL_UPSTREAMS 16 /* upstreams in one cell, design section 2.1 */
@@ -383,91 +380,41 @@
 	}
 }
 
-/* Makes room for one more item and its origin. */
-static bool
-grow(struct pb_check *c, void **items, size_t size, struct pb_origin **origin,
-    int count, int *cap)
-{
-	int want = *cap > 0 ? *cap * 2 : 16;
-	void *p;
-
-	if (count < *cap)
-		return true;
-	p = realloc(*items, (size_t)want * size);
-	if (p == NULL) {
-		c->no_memory = true;
-		return false;
-	}
-	*items = p;
-	p = realloc(*origin, (size_t)want * sizeof(**origin));
-	if (p == NULL) {
-		c->no_memory = true;
-		return false;
-	}
-	*origin = p;
-	*cap = want;
-	return true;
-}
-
 static void
 check_services(struct pb_check *c, const struct pb_node *list)
 {
-	struct pb_settings *s = c->settings;
 	const struct pb_node *n;
+	struct pb_service *v;
 	char path[32];
 	int i = 0;
 
 	if (!pb_check_list(c, list, "services"))
 		return;
 	for (n = list->first; n != NULL; n = n->next) {
-		void *items = s->services;
-		bool ok;
-
-		if (s->service_count == SERVICES_MAX) {
-			pb_report_fault(c, n->line, "services",
-			    "expected at most %d services", SERVICES_MAX);
-			return;
-		}
-		ok = grow(c, &items, sizeof(*s->services), &c->service_origin,
-		    s->service_count, &c->service_cap);
-		s->services = items;
-		if (!ok)
+		v = pb_add_service(c, c->file, n->line);
+		if (v == NULL)
 			return;
 		snprintf(path, sizeof(path), "services[%d]", i++);
-		c->service_origin[s->service_count] =
-		    (struct pb_origin){c->file, n->line};
-		check_service(c, n, path, &s->services[s->service_count++]);
+		check_service(c, n, path, v);
 	}
 }
 
 static void
 check_accounts(struct pb_check *c, const struct pb_node *list)
 {
-	struct pb_settings *s = c->settings;
 	const struct pb_node *n;
+	struct pb_account *a;
 	char path[32];
 	int i = 0;
 
 	if (!pb_check_list(c, list, "accounts"))
 		return;
 	for (n = list->first; n != NULL; n = n->next) {
-		void *items = s->accounts;
-		bool ok;
-
-		if (s->account_count == ACCOUNTS_MAX) {
-			pb_report_fault(c, n->line, "accounts",
-			    "expected at most %d accounts", ACCOUNTS_MAX);
-			return;
-		}
-		ok = grow(c, &items, sizeof(*s->accounts), &c->account_origin,
-		    s->account_count, &c->account_cap);
-		s->accounts = items;
-		if (!ok)
+		a = pb_add_account(c, c->file, n->line);
+		if (a == NULL)
 			return;
 		snprintf(path, sizeof(path), "accounts[%d]", i++);
-		c->account_origin[s->account_count] =
-		    (struct pb_origin){c->file, n->line};
-		check_account(c, n, path, &s->accounts[s->account_count++]);
+		check_account(c, n, path, a);
 	}
 }
 
--- a/source/settings/settings-unique.c
+++ b/source/settings/settings-unique.c
@@ -43,12 +43,33 @@
 	return (x->id > y->id) - (x->id < y->id);
 }
 
+static int
+compare_names(const void *a, const void *b)
+{
+	const struct pb_service *x = a, *y = b;
+
+	return strcmp(x->name, y->name);
+}
+
 static void
 report_twice(struct pb_check *c, const struct pb_origin *first,
     const struct pb_origin *again, const char *path, const char *what,
     const char *name)
 {
+	const struct pb_origin *swap = first;
+
+	/* The fault is reported in the document that is being checked. */
+	if (again->line == 0) {
+		first = again;
+		again = swap;
+	}
 	c->file = again->file;
+	if (first->line == 0) {
+		pb_report_fault(c, again->line, path,
+		    "the %s \"%s\" is already in use by team \"%s\"", what,
+		    name, first->file);
+		return;
+	}
 	pb_report_fault(c, again->line, path,
 	    "the %s \"%s\" is already in use in %s:%d", what, name, first->file,
 	    first->line);
@@ -139,6 +160,11 @@
 	int i, *order;
 
 	check_service_pairs(c);
+	/* The order must not depend on which teams were carried over. */
+	if (s->service_count > 1) {
+		qsort(s->services, (size_t)s->service_count,
+		    sizeof(*s->services), compare_names);
+	}
 	if (s->account_count == 0)
 		return;
 	order = calloc((size_t)s->account_count, sizeof(*order));
--- a/source/store/store-tree.c
+++ b/source/store/store-tree.c
@@ -158,14 +158,24 @@
 	return NULL;
 }
 
+static bool
+is_fleet(const struct pb_subtree *sub)
+{
+	return strcmp(sub->info.team, PB_FLEET_TEAM) == 0;
+}
+
 struct pb_settings *
-pb_parse_tree(struct pb_context *ctx, const struct pb_settings_tree *tree,
-    struct pb_settings_report *report)
+pb_parse_tree_changes(struct pb_context *ctx, const struct pb_settings *old,
+    const struct pb_settings_tree *tree, struct pb_settings_report *report)
 {
+	const struct pb_subtree *fleet = pb_find_subtree(tree, PB_FLEET_TEAM);
 	struct pb_settings_text *texts;
 	struct pb_settings *settings = NULL;
-	size_t i;
+	size_t i, n = 0;
 
+	if (old != NULL && fleet != NULL &&
+	    fleet->info.revision > old->revision)
+		old = NULL;
 	texts = calloc(tree->count + 1, sizeof(*texts));
 	if (texts == NULL) {
 		pb_set_error(
@@ -174,18 +184,27 @@
 	}
 	for (i = 0; i < tree->count; i++) {
 		const struct pb_subtree *sub = &tree->subtrees[i];
-		bool fleet = strcmp(sub->info.team, PB_FLEET_TEAM) == 0;
 
-		texts[i].name = sub->info.team;
-		texts[i].team = fleet ? "" : sub->info.team;
-		texts[i].text = (struct pb_str){sub->text.data, sub->text.len};
+		if (old != NULL && !is_fleet(sub) &&
+		    sub->info.revision <= old->revision)
+			continue;
+		texts[n].name = sub->info.team;
+		texts[n].team = is_fleet(sub) ? "" : sub->info.team;
+		texts[n++].text =
+		    (struct pb_str){sub->text.data, sub->text.len};
 	}
-	settings =
-	    pb_parse_settings(ctx, texts, tree->count, tree->revision, report);
+	settings = pb_parse_changes(ctx, old, texts, n, tree->revision, report);
 	free(texts);
 	return settings;
 }
 
+struct pb_settings *
+pb_parse_tree(struct pb_context *ctx, const struct pb_settings_tree *tree,
+    struct pb_settings_report *report)
+{
+	return pb_parse_tree_changes(ctx, NULL, tree, report);
+}
+
 int
 pb_format_tree(struct pb_context *ctx, const struct pb_settings_tree *tree,
     struct pb_buf *out)
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -1,4 +1,5 @@
 #include "poplarbeam/settings.h"
+#include "poplarbeam/store.h"
 
 #include <CUnit/Basic.h>
 #include <string.h>
@@ -297,6 +298,97 @@
 	pb_clear_report(&report);
 }
 
+#define TREE_TEAMS 6 /* the first one is the fleet */
+
+static void
+write_subtree(struct pb_random *rnd, struct pb_subtree *sub, int team)
+{
+	int n = (int)(pb_next_random(rnd) % 4), i;
+
+	pb_clear_buf(&sub->text);
+	if (team == 0) {
+		pb_append_fmt(&sub->text,
+		    "defaults: {account: {weight: %d}, service: {ramp: %ds}}",
+		    n + 1, n);
+		return;
+	}
+	pb_append_fmt(&sub->text, "services: [");
+	for (i = 0; i < n; i++)
+		pb_append_fmt(&sub->text, "{name: s%d-%d}, ", n - i, team);
+	pb_append_fmt(&sub->text, "]\naccounts: [");
+	for (i = 0; i < n; i++) {
+		pb_append_fmt(&sub->text,
+		    "{name: a%d-%d, key: some-key-%d-%d}, ", i, team, i, team);
+	}
+	/* Sometimes a name that another team may also have. */
+	if (pb_next_random(rnd) % 4 == 0) {
+		pb_append_fmt(
+		    &sub->text, "{name: shared, key: shared-key-%d}, ", team);
+	}
+	pb_append_fmt(&sub->text, "]");
+}
+
+static bool
+same_settings(const struct pb_settings *a, const struct pb_settings *b)
+{
+	if (a->account_count != b->account_count ||
+	    a->service_count != b->service_count)
+		return false;
+	return (a->account_count == 0 ||
+		   memcmp(a->accounts, b->accounts,
+		       sizeof(*a->accounts) * (size_t)a->account_count) == 0) &&
+	    (a->service_count == 0 ||
+		memcmp(a->services, b->services,
+		    sizeof(*a->services) * (size_t)a->service_count) == 0);
+}
+
+/* Guards against a snapshot that depends on which changes led to it. */
+static void
+test_parse_changes(void)
+{
+	struct pb_subtree subs[TREE_TEAMS];
+	struct pb_settings_tree tree = {0, 0, TREE_TEAMS, subs};
+	struct pb_settings *now = NULL, *next, *whole;
+	struct pb_random rnd = {11};
+	int i, team, good = 0, bad = 0;
+
+	memset(subs, 0, sizeof(subs));
+	for (team = 0; team < TREE_TEAMS; team++) {
+		snprintf(subs[team].info.team, sizeof(subs[team].info.team),
+		    "%s%.0d", team == 0 ? "fleet" : "team", team);
+	}
+	for (i = 1; i <= 2000; i++) {
+		struct pb_settings_report one = {.count = 0},
+					  all = {.count = 0};
+
+		team = (int)(pb_next_random(&rnd) % (TREE_TEAMS * 3));
+		team = team >= TREE_TEAMS ? 1 + team % (TREE_TEAMS - 1) : team;
+		tree.revision = (uint64_t)i;
+		subs[team].info.revision = tree.revision;
+		write_subtree(&rnd, &subs[team], team);
+		next = pb_parse_tree_changes(ctx, now, &tree, &one);
+		whole = pb_parse_tree(ctx, &tree, &all);
+		CU_ASSERT_EQUAL(one.count, all.count);
+		if (next != NULL && whole != NULL) {
+			CU_ASSERT(same_settings(next, whole));
+			pb_drop_settings(ctx, now);
+			now = next;
+			next = NULL;
+			good++;
+		} else if (now != NULL) {
+			bad++;
+		}
+		pb_drop_settings(ctx, next);
+		pb_drop_settings(ctx, whole);
+		pb_clear_report(&one);
+		pb_clear_report(&all);
+	}
+	CU_ASSERT(good > 500 && bad > 100);
+	pb_drop_settings(ctx, now);
+	for (team = 0; team < TREE_TEAMS; team++)
+		pb_clear_subtree(&subs[team]);
+}
+
 int
 main(void)
 {
@@ -313,6 +405,7 @@
 	CU_add_test(s, "paths", test_paths);
 	CU_add_test(s, "sha256", test_sha256);
 	CU_add_test(s, "faults", test_faults);
+	CU_add_test(s, "parse changes", test_parse_changes);
 	CU_add_test(s, "report bounds", test_report_bounds);
 	CU_basic_run_tests();
 	failed = CU_get_number_of_failures();
