--- a/standin/lib/platform-server.c
+++ b/standin/lib/platform-server.c
@@ -333,7 +333,7 @@
 	struct mg_callbacks callbacks = {0};
 	char count[16];
 	const char *options[] = {"listening_ports", ports, "num_threads", count,
-	    "enable_keep_alive", "yes", "keep_alive_timeout_ms", "2000",
+	    "enable_keep_alive", "yes", "keep_alive_timeout_ms", "500",
 	    "request_timeout_ms", "10000", "tcp_nodelay", "1", NULL};
 
 	snprintf(count, sizeof(count), "%d", threads);
--- a/standin/pb-platform.c
+++ b/standin/pb-platform.c
@@ -14,7 +14,7 @@
 #define PORTS_MAX 8
 #define DEFAULT_READS 2000 /* reads a second */
 #define DEFAULT_WRITES 400 /* rows written a second */
-#define DEFAULT_THREADS 64 /* requests and idle connections at once */
+#define DEFAULT_THREADS 128 /* requests and idle connections at once */
 
 struct options {
 	char ports[256];
@@ -86,7 +86,7 @@
 	struct arg_int *lag = arg_int0(
 	    NULL, "lag-ms", "MS", "lag of the instance list, default 0");
 	struct arg_int *threads = arg_int0(
-	    NULL, "threads", "N", "connections served at once, default 64");
+	    NULL, "threads", "N", "connections served at once, default 128");
 	struct arg_lit *help = arg_lit0("h", "help", "show this text");
 	struct arg_end *end = arg_end(8);
 	void *table[] = {port, load, reads, writes, lag, threads, help, end};
