Suspect routers by failed exchanges and peers' reports

Cause: a router meets a given one of 101 peers every 25 s, and an unchanged router state is renewed seldom to save bytes, so that silence alone finds a dead router late and its cells would stay with it for that time.

Change: a failed exchange or a peer's report makes a router suspect, and it is down when no sign of life follows within dead_us. A live router hears of the suspicion through the digest and states its own fact again. Once down, only a sign of life brings a router back. A router that heard from no other one for dead_us counts as cut off: the former window of suspect_us + dead_us would have let an isolated router take all others for down before it noticed.

Checks: test "router silence" now covers suspicion, refutation and a down router during isolation. Its check of r3 keeps one router heard of, because under the new window nothing else shows that this router is not cut off.

--- a/include/poplarbeam/members.h
+++ b/include/poplarbeam/members.h
@@ -30,7 +30,7 @@
 	const char *self; /* this instance's id */
 	const char *region;
 	int64_t suspect_us; /* silence until a router is suspect */
-	int64_t dead_us; /* further silence until it counts as down */
+	int64_t dead_us; /* suspicion without sign of life until it is down */
 	int64_t damp_min_us; /* first wait after a failure, 1 s */
 	int64_t damp_max_us; /* longest wait, 60 s */
 	double eject_share; /* largest share of a service in a region ejected */
--- a/source/members/members-health.c
+++ b/source/members/members-health.c
@@ -21,9 +21,18 @@
 	r->reports[i] = r->reports[--r->report_count];
 }
 
+/* A sign of life that comes later ends the suspicion. */
+static void
+suspect_router(struct record *r, int64_t now_us)
+{
+	if (r->suspect_us <= r->alive_us)
+		r->suspect_us = now_us;
+}
+
 static void
 note_failure(struct record *r, int64_t now_us)
 {
+	suspect_router(r, now_us);
 	r->failed_us = now_us;
 	r->well_us = now_us;
 }
@@ -126,6 +135,9 @@
 			r->alive_us = now;
 		return;
 	}
+	if (health != PB_HEALTH_LIVE && health != PB_HEALTH_LEAVING &&
+	    now - r->alive_us >= REPORT_DELAY_US)
+		suspect_router(r, now);
 	store_report(r, reporter, health == PB_HEALTH_DOWN, now);
 }
 
@@ -198,12 +210,12 @@
 
 /*
  * A router that hears from no other router at all is the one that is cut off;
- * it then trusts the list instead of the silence.
+ * it then trusts the list instead of the silence. The window is that of a
+ * suspicion, so that it is closed when the first suspicion runs out.
  */
 static bool
 hears_any_router(const struct pb_members *m, int64_t now_us)
 {
-	int64_t limit = m->policy.suspect_us + m->policy.dead_us;
 	size_t i;
 
 	for (i = 0; i < m->count; i++) {
@@ -211,12 +223,18 @@
 
 		if (r->visible && r->pub.info.role == PB_ROLE_ROUTER &&
 		    r->pub.id_hash != m->self_hash &&
-		    now_us - r->alive_us < limit)
+		    now_us - r->alive_us < m->policy.dead_us)
 			return true;
 	}
 	return false;
 }
 
+/*
+ * A failed exchange or a peer's report makes a router suspect, and it is down
+ * when no sign of life follows within dead_us: a live router hears of the
+ * suspicion and states its own fact again. In a large fleet this is much
+ * sooner than the silence, because two given routers seldom meet.
+ */
 static void
 judge_router(
     struct pb_members *m, struct record *r, bool connected, int64_t now_us)
@@ -224,15 +242,22 @@
 	const struct pb_members_policy *p = &m->policy;
 	int64_t silent = now_us - r->alive_us;
 	enum pb_health health = PB_HEALTH_LIVE;
+	bool suspected, gone;
 
 	if (r->pub.id_hash == m->self_hash) {
 		set_health(m, r, health, now_us);
 		return;
 	}
-	if (silent >= p->suspect_us || r->streak > 0)
+	/* Once down, only a sign of life brings it back. */
+	if (r->pub.health == PB_HEALTH_DOWN && r->alive_us < r->pub.changed_us)
+		return;
+	suspected = r->suspect_us > r->alive_us;
+	if (silent >= p->suspect_us || suspected)
 		health = PB_HEALTH_SUSPECT;
+	gone = silent >= p->suspect_us + p->dead_us ||
+	    (suspected && now_us - r->suspect_us >= p->dead_us);
 	/* Refusals show that the host answers and the router does not run. */
-	if ((connected && silent >= p->suspect_us + p->dead_us) ||
+	if ((connected && gone) ||
 	    (r->refusals >= p->fail_threshold && r->failed_us > r->alive_us))
 		health = PB_HEALTH_DOWN;
 	set_health(m, r, health, now_us);
--- a/source/members/members-record.h
+++ b/source/members/members-record.h
@@ -29,6 +29,7 @@
 	int64_t alive_us; /* last sign of life */
 	int64_t answer_us; /* last direct answer */
 	int64_t failed_us; /* last failure or report of one */
+	int64_t suspect_us; /* first failure since the last sign of life */
 	int64_t well_us; /* healthy since, while down_wanted */
 	int64_t up_us; /* in use since */
 	int64_t damp_us; /* time to stay healthy after the next recovery */
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -223,12 +223,29 @@
 	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_LIVE);
 	CU_ASSERT_EQUAL(health(ctx, m, r2), PB_HEALTH_LIVE);
 	CU_ASSERT_EQUAL(health(ctx, m, r3), PB_HEALTH_SUSPECT);
-	pb_advance_clock(&clk, 2 * PB_SEC);
+	pb_advance_clock(&clk, 2 * PB_SEC - 1);
+	pb_note_evidence(ctx, m, r1, 1, PB_SAW_ANSWER);
+	pb_advance_clock(&clk, 1);
 	CU_ASSERT_EQUAL(health(ctx, m, r2), PB_HEALTH_SUSPECT);
 	CU_ASSERT_EQUAL(health(ctx, m, r3), PB_HEALTH_DOWN);
+	/* Suspected by a peer: down unless a sign of life follows. */
+	pb_note_peer_health(ctx, m, r1, 1, PB_HEALTH_LIVE, r1);
+	pb_note_peer_health(ctx, m, r2, 1, PB_HEALTH_LIVE, r2);
+	pb_advance_clock(&clk, PB_SEC);
+	pb_note_peer_health(ctx, m, r1, 1, PB_HEALTH_DOWN, r2);
+	pb_note_peer_health(ctx, m, r2, 1, PB_HEALTH_SUSPECT, r1);
+	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_SUSPECT);
+	pb_note_peer_health(ctx, m, r1, 1, PB_HEALTH_LIVE, r1);
+	pb_advance_clock(&clk, 2 * PB_SEC - 1);
+	pb_note_peer_health(ctx, m, r1, 1, PB_HEALTH_LIVE, r1);
+	CU_ASSERT_EQUAL(health(ctx, m, r2), PB_HEALTH_SUSPECT);
+	pb_advance_clock(&clk, 1);
+	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_LIVE);
+	CU_ASSERT_EQUAL(health(ctx, m, r2), PB_HEALTH_DOWN);
 	/* Cut off from all: the list is trusted, but a refusal is not. */
 	pb_advance_clock(&clk, 9 * PB_SEC);
 	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_SUSPECT);
+	CU_ASSERT_EQUAL(health(ctx, m, r2), PB_HEALTH_DOWN);
 	CU_ASSERT_EQUAL(health(ctx, m, id_of("r", 0)), PB_HEALTH_LIVE);
 	fail(m, r1, 3);
 	CU_ASSERT_EQUAL(health(ctx, m, r1), PB_HEALTH_DOWN);
