--- a/include/poplarbeam/queue.h
+++ b/include/poplarbeam/queue.h
@@ -15,11 +15,15 @@
 struct pb_rank_policy {
 	char name[24];
 	double floor; /* share of dispatched work kept in a flood, 0..1 */
-	double headroom; /* share of an engine that this rank leaves free */
+	double headroom; /* share of the cell that this rank leaves free */
 	int64_t wait_limit_us; /* longest wait that is given; 0: no limit */
 };
 
-/* The floors of all ranks add up to at most 1. */
+/*
+ * The floors of all ranks add up to at most 1. Headroom 0, 0.03, 0.04, 0.05 for
+ * four ranks and 0.015 for accounts keep urgent work from waiting in a flood
+ * of the lowest rank at 78% and 96% load (build/release/measure-schedule).
+ */
 struct pb_queue_policy {
 	int rank_count;
 	struct pb_rank_policy rank[PB_RANKS_MAX];
@@ -27,8 +31,8 @@
 	uint64_t max_bytes;
 	uint32_t max_items_account; /* for one client account; 0: no limit */
 	/*
-	 * Share of an engine that accounts with a backlog leave free, on top
-	 * of the rank's headroom, so that a small account starts at once.
+	 * Share of the cell that accounts over their fair share leave free, on
+	 * top of the rank's headroom, so that a small account starts at once.
 	 */
 	double account_headroom;
 };
@@ -86,10 +90,13 @@
 };
 
 /*
- * Tries to start one item on an upstream of which the share headroom stays
- * free afterwards; the queue lowers the rank's headroom for items that are
- * due under their floor. The item is already unlinked and may be freed when
- * it was placed. Must not call back into the queue, but for reading stats.
+ * Tries to start one item. headroom is the share of the cell's capacity that
+ * must stay free afterwards, summed over its upstreams: held on each upstream
+ * by itself, low rank work refills every place that frees on one upstream
+ * while another is over its mark. It depends on rank and account, and is lower
+ * for items that are due under their floor. The item is already unlinked and
+ * may be freed when it was placed. Must not call back into the queue, but for
+ * reading stats.
  */
 typedef enum pb_try_result pb_try_item(
     void *arg, struct pb_queue_item *item, double headroom);
@@ -122,8 +129,9 @@
 void pb_charge_queue(struct pb_context *ctx, struct pb_queue *queue, int rank,
     uint64_t account, double weight, uint32_t work);
 /*
- * Work that finished, from which the service rate is estimated. work: as in
- * the item, not the units really used, so that both sides are in one unit.
+ * Work that finished, from which the service rate is estimated: once for each
+ * item that was placed or charged. work: as in the item, not the units really
+ * used, so that both sides are in one unit.
  */
 void pb_complete_queue(
     struct pb_context *ctx, struct pb_queue *queue, uint32_t work);
--- a/source/limit/limit-bucket.c
+++ b/source/limit/limit-bucket.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Time constant of the demand means, in seconds. */
-#define DEMAND_SEC 2.0
+#define DEMAND_SEC 1.0
 #define BURST_SEC 1.0 /* when the settings give none */
 /* When to come back after a refusal that no rate can tell the end of. */
 #define RETRY_US PB_SEC
@@ -169,7 +169,7 @@
 		return NULL;
 	a->account = account;
 	a->filled_at = pb_now(ctx);
-	a->slot = a->filled_at / HOLD_SLOT_US;
+	a->slot = a->filled_at / HOLD_SLOT_US + HOLD_SLOTS;
 	a->next = *bucket_of(l, account);
 	*bucket_of(l, account) = a;
 	l->accounts++;
--- a/source/limit/limit-internal.h
+++ b/source/limit/limit-internal.h
@@ -4,12 +4,14 @@
 #include "poplarbeam/limit.h"
 
 /*
- * A share that grew is used only after it has stood for this long: by then
- * the other cells have heard of the demand behind it (0.5 s between reports,
- * up to 2 s on the way) and use less. A share that fell is used at once.
+ * A cell counts its own demand as the least that it reported in the hold time
+ * and that of others as last heard. The hold time covers 0.5 s between reports
+ * and up to 2 s on the way, so every other cell knows at least this demand and
+ * the shares add up to at most 1. Demand that fell counts at once.
  */
 #define HOLD_SLOT_US (500 * PB_MSEC)
-#define HOLD_SLOTS 7
+#define HOLD_SLOTS 6
+#define NOT_REPORTED (-1.0F)
 
 /* One account with work, a bucket that is not full, or recent demand. */
 struct limit_account {
@@ -25,7 +27,7 @@
 	float work_rate;
 	float admitted_rate; /* requests per second */
 	float share; /* of the limit, in force now */
-	float held[HOLD_SLOTS]; /* smallest target of each slot */
+	float held[HOLD_SLOTS]; /* least pressure in each slot, as reported */
 	uint32_t in_flight;
 	uint32_t others_in_flight; /* at other cells, as reported */
 	int64_t filled_at;
--- a/source/limit/limit-share.c
+++ b/source/limit/limit-share.c
@@ -98,30 +98,25 @@
 }
 
 /*
- * The part of the limit that this cell may use when the demand is as known.
- * When the demand is within the limit, each reporting cell has what it asks
- * for and an equal part of the rest; else all have their proportion.
+ * The part of the limit that this cell may use. When the demand is within the
+ * limit, each reporting cell has what it asks for and an equal part of the
+ * rest; else all have their proportion.
  */
 static double
-target_share(const struct pb_limiter *l, const struct limit_account *a,
-    const struct demand_sum *sum)
+find_share(const struct pb_limiter *l, const struct demand_sum *sum, double own)
 {
 	int cells = l->cells, served = sum->heard + 1;
-	struct pb_account_demand demand;
-	double own, total, pool, part;
+	double total = own + sum->pressure, pool, part;
 
 	if (served > cells)
 		served = cells;
 	if (cells <= 1)
 		return 1;
-	if (!a->reported && sum->reporting == 0)
+	if (own < 0 && sum->reporting == 0)
 		return 1.0 / cells;
 	pool = (double)served / cells;
-	if (!a->reported)
+	if (own < 0)
 		return pool * RESERVE / served;
-	limit_read_own(a, &demand);
-	own = limit_pressure(&a->limits, &demand);
-	total = own + sum->pressure;
 	if (total <= 1)
 		part = own + (1 - total) / (sum->reporting + 1);
 	else
@@ -129,31 +124,42 @@
 	return pool * (RESERVE / served + (1 - RESERVE) * part);
 }
 
-void
-limit_update_share(
-    struct pb_context *ctx, struct pb_limiter *limiter, struct limit_account *a)
+/* Notes the pressure of now; returns the least of the hold time. */
+static float
+hold_pressure(struct pb_context *ctx, struct limit_account *a)
 {
-	int64_t slot = pb_now(ctx) / HOLD_SLOT_US + HOLD_SLOTS;
-	struct demand_sum sum;
-	float target, least;
+	int64_t slot = pb_now(ctx) / HOLD_SLOT_US + 2 * HOLD_SLOTS;
+	struct pb_account_demand demand;
+	float now = NOT_REPORTED, least;
 	int i;
 
-	sum_demand(ctx, limiter, a, &sum);
-	a->known = sum.reporting > 0;
-	a->others_in_flight = sum.in_flight;
-	target = (float)target_share(limiter, a, &sum);
+	if (a->reported) {
+		limit_read_own(a, &demand);
+		now = (float)limit_pressure(&a->limits, &demand);
+	}
 	if (slot - a->slot > HOLD_SLOTS)
 		a->slot = slot - HOLD_SLOTS;
 	while (a->slot < slot) {
 		a->slot++;
-		a->held[a->slot % HOLD_SLOTS] = target;
+		a->held[a->slot % HOLD_SLOTS] = now;
 	}
-	if (target < a->held[slot % HOLD_SLOTS])
-		a->held[slot % HOLD_SLOTS] = target;
-	least = target;
+	a->held[slot % HOLD_SLOTS] = fminf(a->held[slot % HOLD_SLOTS], now);
+	least = now;
 	for (i = 0; i < HOLD_SLOTS; i++)
 		least = fminf(least, a->held[i]);
-	a->share = limiter->cells <= 1 ? 1 : least;
+	return least;
+}
+
+void
+limit_update_share(
+    struct pb_context *ctx, struct pb_limiter *limiter, struct limit_account *a)
+{
+	struct demand_sum sum;
+
+	sum_demand(ctx, limiter, a, &sum);
+	a->known = sum.reporting > 0;
+	a->others_in_flight = sum.in_flight;
+	a->share = (float)find_share(limiter, &sum, hold_pressure(ctx, a));
 }
 
 static struct remote_cell *
--- a/source/queue/queue-account.c
+++ b/source/queue/queue-account.c
@@ -3,6 +3,9 @@
 #include <math.h>
 #include <stdlib.h>
 
+/* Quanta that an account may use at once after a time without work. */
+#define ALLOWANCE 32
+
 static size_t
 bucket_of(int rank, uint64_t account)
 {
@@ -36,13 +39,27 @@
 }
 
 static void
-move_to_ring(struct pb_queue *q, struct pb_queue_account *a)
+move_account(
+    struct pb_queue *q, struct pb_queue_account *a, enum account_list list)
 {
 	struct rank_state *r = &q->rank[a->rank];
 
 	chain_remove(&r->lists[a->list], a);
-	a->list = LIST_RING;
-	chain_append(&r->lists[LIST_RING], a);
+	a->list = list;
+	chain_append(&r->lists[list], a);
+}
+
+void
+queue_rotate_account(struct pb_queue *q, struct pb_queue_account *a)
+{
+	if (a->list == LIST_FRESH)
+		move_account(q, a, LIST_FRESH);
+}
+
+static double
+allowance(const struct pb_queue *q, const struct pb_queue_account *a)
+{
+	return ALLOWANCE * q->rank[a->rank].quantum * a->weight;
 }
 
 struct pb_queue_account *
@@ -69,7 +86,7 @@
 		a->account = item->account;
 		a->rank = item->rank;
 		a->weight = item->weight > 0 ? item->weight : 1;
-		a->deficit = r->quantum * a->weight;
+		a->deficit = allowance(q, a);
 		a->list = LIST_FRESH;
 		bucket = &q->buckets[bucket_of(item->rank, item->account)];
 		a->hash_next = *bucket;
@@ -78,6 +95,8 @@
 		r->accounts++;
 	}
 	a->weight = item->weight > 0 ? item->weight : 1;
+	if (a->items == 0 && a->list == LIST_RING && a->deficit > 0)
+		move_account(q, a, LIST_FRESH);
 	return a;
 }
 
@@ -108,9 +127,10 @@
 }
 
 /*
- * A fresh account that has used its quantum or has no item left joins the
- * ring. It is not forgotten at once, else an account that sends one request
- * at a time would always be fresh and get more than its share.
+ * A fresh account that has used its allowance or has no item left joins the
+ * ring, where each round adds a quantum to its allowance. It is forgotten
+ * when the allowance is full again: forgotten at once, an account that sends
+ * one request at a time would always be fresh and get more than its share.
  */
 static struct pb_queue_account *
 next_fresh(struct pb_queue *q, int rank)
@@ -120,7 +140,7 @@
 	for (a = q->rank[rank].lists[LIST_FRESH].head; a != NULL; a = next) {
 		next = a->next;
 		if (a->items == 0 || a->deficit <= 0)
-			move_to_ring(q, a);
+			move_account(q, a, LIST_RING);
 		else if (a->pass != q->pass)
 			return a;
 	}
@@ -143,7 +163,7 @@
 	if (isinf(rounds))
 		return false;
 	for (a = r->lists[LIST_RING].head; a != NULL; a = a->next)
-		if (a->items > 0 && a->deficit <= 0)
+		if (a->deficit <= 0)
 			a->deficit += rounds * r->quantum * a->weight;
 	return true;
 }
@@ -157,15 +177,15 @@
 	uint32_t left = r->accounts;
 
 	while (left-- > 0 && (a = r->lists[LIST_RING].head) != NULL) {
-		if (a->items == 0) {
+		if (a->items > 0 && a->pass != q->pass && a->deficit > 0)
+			return a;
+		if (a->items == 0 || a->pass != q->pass)
+			a->deficit += r->quantum * a->weight;
+		if (a->items == 0 && a->deficit >= allowance(q, a)) {
 			forget_account(q, a);
 			continue;
 		}
-		if (a->pass != q->pass && a->deficit > 0)
-			return a;
-		if (a->pass != q->pass)
-			a->deficit += r->quantum * a->weight;
-		move_to_ring(q, a);
+		move_account(q, a, LIST_RING);
 	}
 	return NULL;
 }
--- a/source/queue/queue-core.c
+++ b/source/queue/queue-core.c
@@ -4,6 +4,11 @@
 #include <string.h>
 
 #define FLOOR_SLACK 1e-9 /* rounding of floors written as decimals */
+/*
+ * Work is refused when its expected wait is this much over its limit, so that
+ * most of it would have missed the limit in spite of the estimate's error.
+ */
+#define WAIT_MARGIN 1.00
 
 static int
 check_policy(struct pb_context *ctx, const struct pb_queue_policy *p)
@@ -212,7 +217,7 @@
 {
 	const struct pb_rank_policy *rank = &q->policy.rank[item->rank];
 	struct pb_queue_account *a;
-	int64_t limit = item->since_us + rank->wait_limit_us;
+	int64_t limit = item->since_us + rank->wait_limit_us, left;
 
 	if (rank->wait_limit_us > 0 && limit < item->expire_us)
 		item->expire_us = limit;
@@ -220,7 +225,8 @@
 	if (q->policy.max_items_account > 0 && a != NULL &&
 	    a->items >= q->policy.max_items_account)
 		return PB_EBUSY;
-	if (pb_expect_wait(ctx, q, item) > item->expire_us - pb_now(ctx))
+	left = item->expire_us - pb_now(ctx);
+	if ((double)pb_expect_wait(ctx, q, item) > (double)left * WAIT_MARGIN)
 		return PB_ETIMEDOUT;
 	return make_room(ctx, q, item, displaced);
 }
@@ -284,5 +290,5 @@
 	stats->refused = queue->refused;
 	stats->expired = queue->expired;
 	stats->displaced = queue->displaced;
-	stats->work_per_sec = queue_service_rate(queue);
+	stats->work_per_sec = queue_service_rate(queue, 0);
 }
--- a/source/queue/queue-internal.h
+++ b/source/queue/queue-internal.h
@@ -3,11 +3,12 @@
 
 #include "poplarbeam/queue.h"
 
+#define RATES 2 /* time constants of the measured rates */
 #define ACCOUNT_BUCKETS 1024 /* power of two */
 
 /* Which list of its rank an account is in. */
 enum account_list {
-	LIST_FRESH, /* newly active: served first, for one quantum */
+	LIST_FRESH, /* below its share lately: served first */
 	LIST_RING
 };
 
@@ -41,7 +42,14 @@
 	uint64_t served_work;
 	double credit; /* work owed under the floor */
 	double quantum; /* work per round for weight 1 */
-	double arrived; /* decayed sum of arrived work */
+};
+
+/* Sums over the recent past, decayed with one time constant. */
+struct queue_rate {
+	double arrived[PB_RANKS_MAX]; /* work */
+	double seen_sec; /* time of the arrival sums */
+	double busy_work; /* work completed while blocked */
+	double busy_sec; /* time spent blocked */
 };
 
 struct pb_queue {
@@ -60,9 +68,10 @@
 	uint32_t largest; /* largest work since the queue was last empty */
 	bool blocked; /* the last pass ended for lack of room */
 	int64_t rate_at; /* time of the sums below */
-	double busy_work; /* decayed work completed while blocked */
-	double busy_sec; /* decayed time spent blocked */
-	double seen_sec; /* decayed time of the arrival sums */
+	struct queue_rate rate[RATES];
+	uint64_t in_flight; /* work started and not completed */
+	uint64_t turnover; /* work completed while blocked, at the start */
+	bool turned_over;
 	uint32_t completions; /* while blocked, counted up to the minimum */
 };
 
@@ -73,6 +82,8 @@
     struct pb_queue *q, const struct pb_queue_item *item);
 /* The account to be served next in a rank, or NULL when all are left out. */
 struct pb_queue_account *queue_next_account(struct pb_queue *q, int rank);
+/* Puts a fresh account behind the others after it was served. */
+void queue_rotate_account(struct pb_queue *q, struct pb_queue_account *a);
 /* The account of a rank with the most waiting work per weight. */
 struct pb_queue_account *queue_longest_account(struct pb_queue *q, int rank);
 void queue_forget_accounts(struct pb_queue *q, int rank);
@@ -95,7 +106,7 @@
 void queue_set_blocked(struct pb_context *ctx, struct pb_queue *q, bool on);
 
 /* Work units per second while blocked; 0 when not known. */
-double queue_service_rate(const struct pb_queue *q);
+double queue_service_rate(const struct pb_queue *q, int k);
 
 /* queue-serve.c */
 void queue_charge_rank(struct pb_queue *q, int rank, uint32_t work);
--- a/source/queue/queue-serve.c
+++ b/source/queue/queue-serve.c
@@ -1,10 +1,13 @@
 #include "queue-internal.h"
 
 /*
- * A rank whose credit reaches this many times its next item has waited for
- * room in vain; its item may then use all of an engine.
+ * A rank is due when its credit covers its next item and what its floor earns
+ * in DUE_SEC of service, and overdue after OVERDUE_SEC. Without that time, a
+ * rank of small items is due after 80 ms without a start and takes the
+ * headroom of urgent work whenever arrivals bunch.
  */
-#define OVERDUE 2.0
+#define DUE_SEC 1.0
+#define OVERDUE_SEC 4.0
 /* Bound of a rank's credit, in largest items. */
 #define CREDIT_ITEMS 4.0
 
@@ -18,20 +21,23 @@
 queue_charge_rank(struct pb_queue *q, int rank, uint32_t work)
 {
 	struct rank_state *r;
-	double bound = CREDIT_ITEMS * q->largest;
+	double rate = queue_service_rate(q, 0), floor, bound;
 	int i;
 
 	for (i = 0; i < q->policy.rank_count; i++) {
 		r = &q->rank[i];
 		if (r->items == 0 && i != rank)
 			continue;
-		r->credit += q->policy.rank[i].floor * work;
+		floor = q->policy.rank[i].floor;
+		bound = CREDIT_ITEMS * q->largest + OVERDUE_SEC * rate * floor;
+		r->credit += floor * work;
 		if (r->credit > bound)
 			r->credit = bound;
 	}
 	r = &q->rank[rank];
 	r->credit = r->credit > work ? r->credit - work : 0;
 	r->served_work += work;
+	q->in_flight += work;
 }
 
 /* Headroom of the most urgent rank that waits, for an item that is due. */
@@ -55,6 +61,15 @@
 	return a->list == LIST_FRESH ? h : h + q->policy.account_headroom;
 }
 
+/* True when the credit covers this many items and what sec of service earn. */
+static bool
+lags_behind(const struct pb_queue *q, const struct pb_queue_account *a,
+    double items, double sec)
+{
+	return q->rank[a->rank].credit >= items * a->head->work +
+	    sec * queue_service_rate(q, 0) * q->policy.rank[a->rank].floor;
+}
+
 static bool
 choose_offer(struct pb_queue *q, struct offer *offer)
 {
@@ -63,15 +78,12 @@
 
 	offer->account = NULL;
 	for (i = 0; i < q->policy.rank_count; i++) {
-		if (q->rank[i].items == 0)
-			continue;
-		a = queue_next_account(q, i);
+		a = q->rank[i].items > 0 ? queue_next_account(q, i) : NULL;
 		if (a == NULL)
 			continue;
-		if (q->rank[i].credit >= a->head->work) {
+		if (lags_behind(q, a, 1, DUE_SEC)) {
 			offer->account = a;
-			offer->headroom =
-			    q->rank[i].credit >= OVERDUE * a->head->work
+			offer->headroom = lags_behind(q, a, 2, OVERDUE_SEC)
 			    ? 0
 			    : contended_headroom(q, i);
 			return true;
@@ -101,6 +113,7 @@
 		return result;
 	}
 	a->deficit -= work;
+	queue_rotate_account(q, a);
 	queue_charge_rank(q, a->rank, work);
 	queue_settle_rank(q, a->rank);
 	return result;
--- a/source/queue/queue-wait.c
+++ b/source/queue/queue-wait.c
@@ -2,15 +2,38 @@
 
 #include <math.h>
 
-/* Time constant of the service and arrival rates, in seconds. */
-#define RATE_SEC 5.0
+/*
+ * Time constants of the service and arrival rates, in seconds. The short one
+ * follows a flood. The long one is for waits over LONG_WAIT_SEC: the noise
+ * over 5 s made the queue refuse work that would have waited 0.7 times its
+ * limit.
+ */
+static const double rate_sec[RATES] = {5.0, 30.0};
+#define LONG_WAIT_SEC 10.0
+
 /* Completions seen before the service rate counts as known. */
 #define RATE_COMPLETIONS 16
 /* Weight of a new item in the mean that sets a rank's quantum. */
 #define QUANTUM_GAIN 0.05
 /* Share of the service below which a rank counts as getting nothing. */
 #define SHARE_MIN 1e-3
-#define WAIT_MAX_SEC 1e6
+
+static void
+age_rate(struct pb_queue *q, int k, double sec)
+{
+	double keep = exp(-sec / rate_sec[k]);
+	double seen = rate_sec[k] * (1 - keep);
+	struct queue_rate *rate = &q->rate[k];
+	int i;
+
+	for (i = 0; i < q->policy.rank_count; i++)
+		rate->arrived[i] *= keep;
+	rate->seen_sec = rate->seen_sec * keep + seen;
+	if (q->blocked && q->turned_over) {
+		rate->busy_work *= keep;
+		rate->busy_sec = rate->busy_sec * keep + seen;
+	}
+}
 
 /* Ages the sums up to now. */
 static void
@@ -18,24 +41,11 @@
 {
 	int64_t now = pb_now(ctx);
 	double sec = (double)(now - q->rate_at) / PB_SEC;
-	double keep = exp(-sec / RATE_SEC);
-	int i;
+	int k;
 
 	q->rate_at = now;
-	if (sec <= 0)
-		return;
-	for (i = 0; i < q->policy.rank_count; i++)
-		q->rank[i].arrived *= keep;
-	q->seen_sec = q->seen_sec * keep + RATE_SEC * (1 - keep);
-	/*
-	 * Time counts from the first completion: work that all started at
-	 * once on idle engines completes nothing for a while, although the
-	 * engines are at full speed.
-	 */
-	if (q->blocked && q->completions > 0) {
-		q->busy_work *= keep;
-		q->busy_sec = q->busy_sec * keep + RATE_SEC * (1 - keep);
-	}
+	for (k = 0; sec > 0 && k < RATES; k++)
+		age_rate(q, k, sec);
 }
 
 void
@@ -52,29 +62,45 @@
     struct pb_context *ctx, struct pb_queue *q, int rank, uint32_t work)
 {
 	struct rank_state *r = &q->rank[rank];
+	int k;
 
 	age_rates(ctx, q);
-	r->arrived += work;
+	for (k = 0; k < RATES; k++)
+		q->rate[k].arrived[rank] += work;
 	r->quantum += QUANTUM_GAIN * ((work > 0 ? work : 1) - r->quantum);
 }
 
 void
 pb_complete_queue(struct pb_context *ctx, struct pb_queue *queue, uint32_t work)
 {
+	int k;
+
+	queue->in_flight -= work < queue->in_flight ? work : queue->in_flight;
 	if (!queue->blocked)
 		return;
 	age_rates(ctx, queue);
-	queue->busy_work += work;
+	/*
+	 * Work that all started at once on idle engines completes little for
+	 * a while, although the engines are at full speed. The rate counts
+	 * from when as much has completed as is in flight.
+	 */
+	if (!queue->turned_over) {
+		queue->turnover += work;
+		queue->turned_over = queue->turnover >= queue->in_flight;
+		return;
+	}
+	for (k = 0; k < RATES; k++)
+		queue->rate[k].busy_work += work;
 	if (queue->completions < RATE_COMPLETIONS)
 		queue->completions++;
 }
 
 double
-queue_service_rate(const struct pb_queue *q)
+queue_service_rate(const struct pb_queue *q, int k)
 {
-	if (q->completions < RATE_COMPLETIONS || q->busy_sec <= 0)
+	if (q->completions < RATE_COMPLETIONS || q->rate[k].busy_sec <= 0)
 		return 0;
-	return q->busy_work / q->busy_sec;
+	return q->rate[k].busy_work / q->rate[k].busy_sec;
 }
 
 /* Work of the item's own rank that is served before it. */
@@ -103,36 +129,47 @@
 	return ahead;
 }
 
+/* Share of the service that the rank has left by the more urgent ones. */
+static double
+share_left(const struct pb_queue *q, int rank, int k, double service)
+{
+	const struct queue_rate *rate = &q->rate[k];
+	double share = 1;
+	int i;
+
+	for (i = 0; i < q->policy.rank_count; i++) {
+		if (i < rank && rate->seen_sec > 0)
+			share -= rate->arrived[i] / rate->seen_sec / service;
+		else if (i > rank && q->rank[i].items > 0)
+			share -= q->policy.rank[i].floor;
+	}
+	return fmax(share, SHARE_MIN);
+}
+
 int64_t
 pb_expect_wait(struct pb_context *ctx, struct pb_queue *queue,
     const struct pb_queue_item *item)
 {
-	double rate, ahead, urgent = 0, share = 1, floor, sec, by_floor;
-	int i;
+	double ahead, floor, service, sec = 0, urgent = 0;
+	int i, k;
 
-	if (queue->items == 0)
-		return 0;
-	age_rates(ctx, queue);
-	rate = queue_service_rate(queue);
-	if (rate <= 0 || item->rank < 0 ||
+	if (queue->items == 0 || item->rank < 0 ||
 	    item->rank >= queue->policy.rank_count)
 		return 0;
-	/* More urgent work goes first, also what arrives during the wait. */
-	for (i = 0; i < queue->policy.rank_count; i++) {
-		const struct rank_state *r = &queue->rank[i];
-
-		if (i < item->rank) {
-			urgent += (double)r->work;
-			if (queue->seen_sec > 0)
-				share -= r->arrived / queue->seen_sec / rate;
-		} else if (i > item->rank && r->items > 0) {
-			share -= queue->policy.rank[i].floor;
-		}
-	}
+	age_rates(ctx, queue);
+	for (i = 0; i < item->rank; i++)
+		urgent += (double)queue->rank[i].work;
 	ahead = work_ahead(queue, item);
-	floor = queue->policy.rank[item->rank].floor;
-	sec =
-	    share > SHARE_MIN ? (urgent + ahead) / rate / share : WAIT_MAX_SEC;
-	by_floor = floor > SHARE_MIN ? ahead / rate / floor : WAIT_MAX_SEC;
-	return (int64_t)(fmin(fmin(sec, by_floor), WAIT_MAX_SEC) * PB_SEC);
+	floor = fmax(queue->policy.rank[item->rank].floor, SHARE_MIN);
+	for (k = RATES - 1; k >= 0; k--) {
+		service = queue_service_rate(queue, k);
+		if (service <= 0)
+			return 0;
+		sec = fmin(ahead / service / floor,
+		    (urgent + ahead) / service /
+			share_left(queue, item->rank, k, service));
+		if (sec >= LONG_WAIT_SEC)
+			break;
+	}
+	return (int64_t)(sec * PB_SEC);
 }
