--- /dev/null
+++ b/source/platform/platform-http.c
@@ -0,0 +1,158 @@
+#include "platform-http.h"
+
+#include "poplarbeam/upstream.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define IDLE_MAX 16 /* open connections kept */
+#define CONNECT_MAX_US PB_SEC /* longest wait for a connection */
+
+struct pb_http_pool {
+	char peer[64]; /* host:port */
+	int64_t timeout_us;
+	struct pb_client *client;
+};
+
+struct pb_http_pool *
+pb_new_http_pool(struct pb_context *ctx, const char *base, int64_t timeout_us)
+{
+	struct pb_http_pool *pool = calloc(1, sizeof(*pool));
+	const char *host = strstr(base, "://");
+
+	if (pool != NULL)
+		pool->client = pb_new_client(ctx, IDLE_MAX);
+	if (pool == NULL || pool->client == NULL) {
+		free(pool);
+		pb_set_error(ctx, PB_ENOMEM, "open", base, "no memory");
+		return NULL;
+	}
+	pb_copy_str(
+	    pool->peer, sizeof(pool->peer), host != NULL ? host + 3 : base);
+	pool->timeout_us = timeout_us;
+	return pool;
+}
+
+void
+pb_drop_http_pool(struct pb_context *ctx, struct pb_http_pool *pool)
+{
+	if (pool == NULL)
+		return;
+	pb_drop_client(ctx, pool->client);
+	free(pool);
+}
+
+const char *
+pb_http_peer(const struct pb_http_pool *pool)
+{
+	return pool->peer;
+}
+
+/* What a failed call means for the state of the peer. */
+static enum pb_code
+failure_of(
+    const struct pb_http_call *call, int rc, const struct pb_call_result *res)
+{
+	if (!res->sent || rc == PB_ENOMEM || rc == PB_EINVAL)
+		return rc;
+	if (call->write)
+		return PB_EUNKNOWN;
+	if (rc == PB_EABORTED)
+		return PB_EPROTO; /* longer than the limit */
+	return rc == PB_EUNKNOWN ? PB_EUNAVAIL : rc;
+}
+
+int
+pb_call_platform(struct pb_context *ctx, struct pb_http_pool *pool,
+    const struct pb_http_call *call, struct pb_http_reply *reply)
+{
+	struct pb_header type = {
+	    pb_str_from("Content-Type"), pb_str_from("application/json")};
+	struct pb_call http = {.peer = pool->peer,
+	    .address = pool->peer,
+	    .method = call->method,
+	    .target = call->path,
+	    .headers = &type,
+	    .header_count = call->body.data != NULL,
+	    .body = call->body,
+	    .fresh = call->write,
+	    .connect_us = pool->timeout_us < CONNECT_MAX_US ? pool->timeout_us
+							    : CONNECT_MAX_US,
+	    .total_us = pool->timeout_us};
+	struct pb_call_result res;
+	struct pb_buffer_sink sink;
+	char text[128];
+	int rc;
+
+	memset(reply, 0, sizeof(*reply));
+	pb_init_buffer_sink(&sink, call->max_body);
+	rc = pb_call_http(ctx, pool->client, &http, &sink.base, &res);
+	if (rc != PB_OK) {
+		pb_copy_str(text, sizeof(text), ctx->error.text);
+		pb_clear_buf(&sink.body);
+		return pb_set_error(ctx, failure_of(call, rc, &res), call->step,
+		    pool->peer, "%s: %s", call->path, text);
+	}
+	reply->status = res.status;
+	reply->body = sink.body;
+	return PB_OK;
+}
+
+int
+pb_check_http_status(struct pb_context *ctx, struct pb_http_pool *pool,
+    const struct pb_http_call *call, const struct pb_http_reply *reply)
+{
+	enum pb_code code;
+
+	if (reply->status >= 200 && reply->status < 300)
+		return PB_OK;
+	if (reply->status == 404)
+		code = PB_ENOENT;
+	else if (reply->status == 409)
+		code = PB_ECONFLICT;
+	else if (reply->status == 429)
+		code = PB_EBUSY;
+	else if (reply->status == 503)
+		code = PB_EUNAVAIL;
+	else if (reply->status >= 400 && reply->status < 500)
+		code = PB_EINVAL;
+	else
+		code = call->write ? PB_EUNKNOWN : PB_EPROTO;
+	return pb_set_error(ctx, code, call->step, pool->peer,
+	    "%s: status %ld: %.80s", call->path, reply->status,
+	    reply->body.data != NULL ? reply->body.data : "");
+}
+
+json_t *
+pb_parse_http_body(struct pb_context *ctx, struct pb_http_pool *pool,
+    const struct pb_http_call *call, const struct pb_http_reply *reply)
+{
+	json_error_t error = {0};
+	json_t *root = json_loadb(
+	    reply->body.data, reply->body.len, JSON_REJECT_DUPLICATES, &error);
+
+	if (json_is_object(root))
+		return root;
+	pb_set_error(ctx, PB_EPROTO, call->step, pool->peer,
+	    "%s: response is not a JSON object: %s", call->path, error.text);
+	json_decref(root);
+	return NULL;
+}
+
+int
+pb_append_escaped(struct pb_buf *buf, const char *src, bool keep_slash)
+{
+	static const char plain[] =
+	    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	    "0123456789-._~";
+	int rc = PB_OK;
+
+	for (; *src != '\0' && rc == PB_OK; src++) {
+		if (strchr(plain, *src) != NULL || (keep_slash && *src == '/'))
+			rc = pb_append_buf(buf, src, 1);
+		else
+			rc = pb_append_fmt(
+			    buf, "%%%02X", (unsigned)(unsigned char)*src);
+	}
+	return rc;
+}
