--- a/tests/measure-schedule.c
+++ b/tests/measure-schedule.c
@@ -601,8 +601,9 @@
 	static const double high[RANKS] = {0.50, 0.25, 0.14, 0.07};
 
 	printf("## Scheduling in a cell\n\n%d engines of %d places, %d seeds "
-	       "of %lld s each after %lld s of warm-up.\n",
-	    ENGINES, PLACES, SEEDS, (RUN - WARMUP) / PB_SEC, WARMUP / PB_SEC);
+	       "of %d s each after %d s of warm-up.\n",
+	    ENGINES, PLACES, SEEDS, (int)((RUN - WARMUP) / PB_SEC),
+	    (int)(WARMUP / PB_SEC));
 	urgent_table("78% load without it", normal);
 	urgent_table("96% load without it", high);
 	floor_table();
