--- a/include/poplarbeam/node.h
+++ b/include/poplarbeam/node.h
@@ -3,6 +3,7 @@
 
 #include "poplarbeam/base.h"
 #include "poplarbeam/boot.h"
+#include "poplarbeam/claim.h"
 #include "poplarbeam/events.h"
 #include "poplarbeam/members.h"
 #include "poplarbeam/metrics.h"
@@ -32,6 +33,7 @@
 	struct pb_events *events;
 	struct pb_metrics *metrics;
 	struct pb_retry_budget *retries;
+	struct pb_claim_backlog *claims; /* outcomes still to be recorded */
 	struct pb_table *table;
 	struct pb_objects *objects;
 	struct pb_instances *instances;
@@ -54,6 +56,10 @@
 /* A context on the stack for one request or thread. */
 struct pb_context pb_node_context(struct pb_node *node);
 
+/* How this instance makes claims under the given settings. */
+struct pb_claim_policy pb_node_claim_policy(
+    struct pb_node *node, const struct pb_settings *settings);
+
 /* The snapshot in force, with a reference for the caller; NULL before any. */
 struct pb_settings *pb_node_settings(struct pb_node *node);
 struct pb_view *pb_node_view(struct pb_node *node);
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -3,7 +3,19 @@
 # processes that were started here are ended, each by its id.
 
 FLEET_BIN=${FLEET_BIN:-build/release}
-FLEET_PORT=${FLEET_PORT:-21000}
+
+# A block of loopback ports below the ephemeral range that nothing listens on.
+free_ports() {
+	local base
+	while :; do
+		base=$((15000 + RANDOM % 50 * 300))
+		ss -Hltun | awk -v b=$base '{n = $5; sub(/.*:/, "", n)
+		    if (n >= b && n < b + 300) used = 1} END {exit used}' && break
+	done
+	echo $base
+}
+
+FLEET_PORT=${FLEET_PORT:-$(free_ports)}
 FLEET_DIR=$(mktemp -d)
 FLEET_PIDS=
 FLEET_REGION=${FLEET_REGION:-north}
--- a/source/caller/caller-claim.c
+++ b/source/caller/caller-claim.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#define RUNNING_LIMIT (10 * 60 * PB_SEC) /* then a claim counts as unknown */
-
 static int
 finish_whole(struct entry *e, struct caller_sink *sink)
 {
@@ -113,7 +111,8 @@
 	char extra[128];
 
 	snprintf(extra, sizeof(extra),
-	    "X-Request-Id: %s\r\nX-Poplarbeam-Replayed: true\r\n", e->req.id);
+	    "X-Request-Id: %s\r\nX-Poplarbeam-Replayed: %s\r\n", e->req.id,
+	    claim->answer_omitted ? "status-only" : "true");
 	return pb_send_text(e->conn, claim->status, claim->content_type, extra,
 	    (struct pb_str){claim->answer.data, claim->answer.len});
 }
@@ -143,7 +142,9 @@
 		pb_count(node->metrics, PB_COUNT_NOT_RUN, 1);
 		return entry_refuse(e, VERDICT_NOT_RUN, 503,
 		    "claim_unavailable",
-		    "the call could not be recorded and did not run", PB_SEC);
+		    "this attempt did not run; an earlier one with the "
+		    "same key may have",
+		    PB_SEC);
 	}
 }
 
@@ -151,11 +152,7 @@
 run_claimed(struct entry *e, struct caller_sink *sink)
 {
 	struct pb_node *node = e->server->node;
-	struct pb_claim_policy policy = {
-	    .send_window_us = e->settings->claim_send_us,
-	    .running_us = RUNNING_LIMIT,
-	    .retention_us = e->settings->claim_retention_us,
-	    .router = node->boot.instance};
+	struct pb_claim_policy policy = pb_node_claim_policy(node, e->settings);
 	struct entry_outcome out = {0};
 	enum pb_claim_state state;
 	struct pb_claim claim;
@@ -166,6 +163,9 @@
 	    e->key, e->req.fingerprint, e->req.id,
 	    pb_now(e->ctx) + e->req.wait_us, &claim);
 	if (state != PB_CLAIM_MINE) {
+		/* The write of the claim may still take effect. */
+		if (state == PB_CLAIM_UNAVAILABLE)
+			pb_release_claim(e->ctx, node->table, &policy, &claim);
 		rc = answer_repeat(e, state, &claim);
 		pb_clear_claim(&claim);
 		return rc;
--- a/source/node/node-state.c
+++ b/source/node/node-state.c
@@ -6,6 +6,7 @@
 #define EVENTS_CAP 16384
 #define IDLE_CONNECTIONS 64 /* kept open per peer */
 #define RETRY_BURST 20
+#define CLAIM_RUNNING (10 * 60 * PB_SEC) /* then a claim counts as unknown */
 
 struct pb_node *
 pb_new_node(struct pb_context *ctx, const struct pb_boot *boot)
@@ -23,9 +24,11 @@
 	node->events = pb_new_events(ctx, EVENTS_CAP);
 	node->metrics = pb_new_metrics(ctx);
 	node->retries = pb_new_retry_budget(ctx, 0.1, RETRY_BURST);
+	node->claims = pb_new_claim_backlog(ctx);
 	atomic_init(&node->next_id, 1);
 	if (node->client == NULL || node->events == NULL ||
-	    node->metrics == NULL || node->retries == NULL) {
+	    node->metrics == NULL || node->retries == NULL ||
+	    node->claims == NULL) {
 		pb_drop_node(ctx, node);
 		return NULL;
 	}
@@ -51,6 +54,7 @@
 	pb_drop_events(ctx, node->events);
 	pb_drop_metrics(ctx, node->metrics);
 	pb_drop_retry_budget(ctx, node->retries);
+	pb_drop_claim_backlog(ctx, node->claims);
 	free(node);
 }
 
@@ -71,6 +75,19 @@
 	return ctx;
 }
 
+struct pb_claim_policy
+pb_node_claim_policy(struct pb_node *node, const struct pb_settings *settings)
+{
+	struct pb_claim_policy policy = {
+	    .send_window_us = settings->claim_send_us,
+	    .running_us = CLAIM_RUNNING,
+	    .retention_us = settings->claim_retention_us,
+	    .router = node->boot.instance,
+	    .backlog = node->claims};
+
+	return policy;
+}
+
 struct pb_settings *
 pb_node_settings(struct pb_node *node)
 {
--- /dev/null
+++ b/source/router/router-claims.c
@@ -0,0 +1,72 @@
+#include "router-internal.h"
+
+#include <string.h>
+
+#define REPAIR_INTERVAL (1 * PB_SEC)
+#define REPAIR_BATCH 16 /* outcomes recorded per round */
+#define EXPIRE_EVERY 5 /* rounds per router of the fleet */
+#define EXPIRE_BATCH 64 /* rows looked at in one call */
+#define CURSOR_MAX 160 /* bytes of a row's key */
+
+size_t
+router_repair_claims(struct pb_context *ctx, struct pb_router *r)
+{
+	struct pb_settings *s = pb_node_settings(r->node);
+	struct pb_claim_policy policy;
+	size_t left;
+
+	if (s == NULL)
+		return 0;
+	policy = pb_node_claim_policy(r->node, s);
+	left = pb_repair_claims(ctx, r->node->table, &policy, REPAIR_BATCH);
+	pb_drop_settings(ctx, s);
+	return left;
+}
+
+static int
+count_routers(struct pb_context *ctx, struct pb_router *r)
+{
+	struct pb_view *view = pb_node_view(r->node);
+	int n = 0;
+	size_t i;
+
+	for (i = 0; view != NULL && i < view->count; i++)
+		n += view->members[i].info.role == PB_ROLE_ROUTER;
+	if (view != NULL)
+		pb_drop_view(ctx, view);
+	return n > 0 ? n : 1;
+}
+
+static void
+expire_claims(struct pb_context *ctx, struct pb_router *r, char *cursor)
+{
+	struct pb_settings *s = pb_node_settings(r->node);
+	struct pb_claim_policy policy;
+
+	if (s == NULL)
+		return;
+	policy = pb_node_claim_policy(r->node, s);
+	if (pb_expire_claims(ctx, r->node->table, &policy, cursor, CURSOR_MAX,
+		EXPIRE_BATCH) < 0)
+		pb_log_error(ctx, PB_WARN, NULL);
+	pb_drop_settings(ctx, s);
+}
+
+void *
+router_run_claims(void *arg)
+{
+	struct pb_router *r = arg;
+	struct pb_context ctx = pb_node_context(r->node);
+	char cursor[CURSOR_MAX] = "";
+	int round = 0;
+
+	while (router_sleep(r, REPAIR_INTERVAL)) {
+		router_repair_claims(&ctx, r);
+		/* The whole fleet makes one call every EXPIRE_EVERY seconds. */
+		if (++round >= EXPIRE_EVERY * count_routers(&ctx, r)) {
+			round = 0;
+			expire_claims(&ctx, r, cursor);
+		}
+	}
+	return NULL;
+}
--- a/source/router/router-internal.h
+++ b/source/router/router-internal.h
@@ -19,6 +19,7 @@
 	THREAD_SETTINGS,
 	THREAD_PROBE,
 	THREAD_DIGEST,
+	THREAD_CLAIMS,
 	THREAD_COUNT
 };
 
@@ -35,6 +36,9 @@
 	struct pb_buf tree; /* settings in force, as handed to peers */
 	uint64_t tree_revision;
 
+	pthread_mutex_t fetch_lock; /* taken before gate_lock */
+	struct pb_settings_tree stored; /* newest tree that was read */
+
 	pthread_mutex_t digest_lock;
 	struct pb_digest *digest;
 	struct pb_peer_server *peer_server;
@@ -84,6 +88,11 @@
 int router_fetch_from_peers(struct pb_context *ctx, struct pb_router *r,
     uint64_t wanted, struct pb_settings_tree *tree);
 
+/* Claims: outcomes that are still to be recorded, and old rows. */
+void *router_run_claims(void *arg);
+/* Records what is left; returns how many outcomes could not be recorded. */
+size_t router_repair_claims(struct pb_context *ctx, struct pb_router *r);
+
 /* Operators' HTTP surface. */
 int router_start_admin(struct pb_context *ctx, struct pb_router *r);
 
--- a/source/router/router-settings.c
+++ b/source/router/router-settings.c
@@ -14,6 +14,7 @@
 	struct pb_gate_policy policy = {FRESHNESS_DEFAULT, START_PEERS};
 
 	pthread_mutex_init(&r->gate_lock, NULL);
+	pthread_mutex_init(&r->fetch_lock, NULL);
 	pthread_cond_init(&r->settings_kick, NULL);
 	r->gate = pb_new_settings_gate(ctx, &policy);
 	if (r->gate == NULL)
@@ -64,34 +65,59 @@
 	pb_sync_owner(ctx, r->owner);
 }
 
-/* Fetches the settings, from the table service or else from a peer. */
+/* Reads the newest tree, from the table service or else from a peer. */
+static int
+read_newest(struct pb_context *ctx, struct pb_router *r, uint64_t wanted,
+    enum pb_settings_source *source)
+{
+	struct pb_settings_tree *tree = &r->stored;
+	struct pb_settings_tree from_peer;
+	int rc;
+
+	*source = PB_FROM_TABLE;
+	if (tree->revision > 0)
+		rc = pb_update_tree(ctx, r->node->table, tree);
+	else
+		rc = pb_read_tree(ctx, r->node->table, tree);
+	if (rc == PB_OK && tree->revision >= wanted)
+		return PB_OK;
+	memset(&from_peer, 0, sizeof(from_peer));
+	*source = PB_FROM_PEER;
+	rc = router_fetch_from_peers(ctx, r, wanted, &from_peer);
+	if (rc != PB_OK)
+		return rc;
+	pb_clear_tree(tree);
+	*tree = from_peer;
+	return PB_OK;
+}
+
+/* Fetches the settings and puts them in force; one thread at a time. */
 static void
 fetch_settings(struct pb_context *ctx, struct pb_router *r, uint64_t wanted)
 {
 	struct pb_settings_report report = {0};
-	enum pb_settings_source source = PB_FROM_TABLE;
-	int64_t asked_us = pb_now(ctx);
-	struct pb_settings_tree tree;
-	struct pb_settings *settings;
-
-	memset(&tree, 0, sizeof(tree));
-	if (pb_read_tree(ctx, r->node->table, &tree) != PB_OK ||
-	    tree.revision < wanted) {
-		pb_clear_tree(&tree);
-		memset(&tree, 0, sizeof(tree));
-		source = PB_FROM_PEER;
-		if (router_fetch_from_peers(ctx, r, wanted, &tree) != PB_OK)
-			return;
-	}
-	settings = pb_parse_tree(ctx, &tree, &report);
+	struct pb_settings *settings, *old = NULL;
+	enum pb_settings_source source;
+	int64_t asked_us;
+
+	pthread_mutex_lock(&r->fetch_lock);
+	asked_us = pb_now(ctx);
+	if (read_newest(ctx, r, wanted, &source) != PB_OK)
+		goto done;
+	old = pb_node_settings(r->node);
+	settings = pb_parse_tree_changes(ctx, old, &r->stored, &report);
 	if (settings != NULL)
-		put_in_force(ctx, r, settings, &tree, source, asked_us);
+		put_in_force(ctx, r, settings, &r->stored, source, asked_us);
 	else
 		pb_log(ctx, PB_ERROR, "settings", NULL, NULL,
-		    "revision %" PRIu64 " is not valid here: %s", tree.revision,
+		    "revision %" PRIu64 " is not valid here: %s",
+		    r->stored.revision,
 		    report.lines.data != NULL ? report.lines.data : "");
 	pb_clear_report(&report);
-	pb_clear_tree(&tree);
+done:
+	if (old != NULL)
+		pb_drop_settings(ctx, old);
+	pthread_mutex_unlock(&r->fetch_lock);
 }
 
 void
--- a/source/router/router-start.c
+++ b/source/router/router-start.c
@@ -63,6 +63,7 @@
 	    [THREAD_SETTINGS] = router_run_settings,
 	    [THREAD_PROBE] = router_run_probe,
 	    [THREAD_DIGEST] = router_run_digest,
+	    [THREAD_CLAIMS] = router_run_claims,
 	};
 	int i;
 
@@ -143,6 +144,8 @@
 	atomic_store(&node->accepting, 0);
 	while ((running = count_running(node)) > 0 && pb_now(ctx) < deadline_us)
 		node->clock->ops->sleep(node->clock, DRAIN_POLL);
+	while (router_repair_claims(ctx, r) > 0 && pb_now(ctx) < deadline_us)
+		node->clock->ops->sleep(node->clock, DRAIN_POLL);
 	if (running > 0)
 		pb_log(ctx, PB_ERROR, "drain", NULL, NULL,
 		    "%lld requests were still in progress at the deadline",
@@ -183,6 +186,7 @@
 	if (r->members != NULL)
 		pb_drop_members(ctx, r->members);
 	pb_clear_buf(&r->tree);
+	pb_clear_tree(&r->stored);
 	pb_drop_owner(ctx, r->owner);
 	pb_drop_node(ctx, r->node);
 	free(r);
--- a/tests/scripts/answers.sh
+++ b/tests/scripts/answers.sh
@@ -2,7 +2,6 @@
 # another caller's answer, and a stream cut by the loss of a router, by a
 # planned stop or by an engine that leaves.
 cd "$(dirname "$0")/../.." || exit 2
-FLEET_PORT=22000
 . tests/scripts/fleet-lib.sh
 exec 3>&1 >"$FLEET_DIR/report"
 
--- a/tests/scripts/fleet-lib.sh
+++ b/tests/scripts/fleet-lib.sh
@@ -120,6 +120,9 @@
 	    "http://127.0.0.1:$(caller_port "$3")/orders/new"
 }
 
+# ordered KEY: true when the call went through.
+ordered() { [ "$(order "$1" "$1" 1)" = 200 ]; }
+
 runs_of() {
 	curl -sf -m 2 "http://127.0.0.1:$(app_port 1)/control/runs" |
 	    jq --arg b "$1" '.runs[$b] // 0'
