--- a/include/poplarbeam/placement.h
+++ b/include/poplarbeam/placement.h
@@ -67,20 +67,21 @@
  * Chooses an upstream for work of this chat, 0 for none: its last location if
  * eligible, its first rendezvous choice up to half way between mean and
  * inner_limit, its second up to the mean, else the least loaded. headroom:
- * share of its capacity that must stay free. avoid: bit mask of slots not to
- * use. Returns the slot, or -1 when none is eligible. Does not charge it.
+ * share of the live upstreams' capacity that must stay free in all. avoid: bit
+ * mask of slots not to use. Returns the slot, or -1 when none is eligible. Does
+ * not charge it.
  *
  * Eligible are live upstreams that with this work carry no more than
  * inner_limit x the mean of the live ones (work / (capacity x throttle), this
- * work included) or floor_work, and no more than their capacity less the
- * headroom. An upstream without load may take any one piece of work: if not,
- * work larger than the floor could never start in an idle cell.
+ * work included) or floor_work, and no more than their capacity. An upstream
+ * without load may take any one piece of work: if not, work larger than the
+ * floor could never start in an idle cell.
  */
 int pb_choose_upstream(struct pb_context *ctx, struct pb_placement *pl,
     uint64_t chat, uint32_t work, double headroom, uint64_t avoid);
 /*
- * True when one of the slots has the capacity for this work besides the
- * headroom, whatever its load.
+ * True when one of the slots has the capacity for this work, and the cell has
+ * it besides the headroom, whatever the load.
  */
 bool pb_fits_capacity(const struct pb_placement *pl, uint32_t work,
     double headroom, uint64_t slots);
--- a/source/cell/cell-work.c
+++ b/source/cell/cell-work.c
@@ -252,8 +252,7 @@
 	pb_release_upstream(
 	    ctx, cell->placement, rq->upstream, rq->incarnation, rq->work.work);
 	return_limit(ctx, cell, rq, ran ? used : 0);
-	if (ran)
-		pb_complete_queue(ctx, cell->queue, rq->work.work);
+	pb_complete_queue(ctx, cell->queue, rq->work.work);
 	pb_free_request(cell, rq);
 	pb_serve_cell(ctx, cell);
 }
--- a/source/placement/placement-choose.c
+++ b/source/placement/placement-choose.c
@@ -17,9 +17,12 @@
 	if (v->capacity[i] <= 0 || v->now < s->held_us ||
 	    (d->avoid >> i & 1) != 0)
 		return false;
+	if (v->total_load > 0 &&
+	    v->total_load + d->work > v->total_capacity * (1 - d->headroom))
+		return false;
 	if (v->load[i] <= 0)
 		return true;
-	if (after > v->capacity[i] * (1 - d->headroom))
+	if (after > v->capacity[i])
 		return false;
 	return after <= pl->policy.floor_work ||
 	    after * v->total_capacity <=
@@ -136,16 +139,19 @@
 pb_fits_capacity(const struct pb_placement *pl, uint32_t work, double headroom,
     uint64_t slots)
 {
+	double capacity, largest = 0, total = 0;
 	int i;
 
 	for (i = 0; i < pl->count; i++) {
 		const struct pb_upstream_info *u = &pl->slots[i].info;
 
-		if ((slots >> i & 1) != 0 &&
-		    work <= u->capacity * u->throttle * (1 - headroom))
-			return true;
+		capacity = u->capacity * u->throttle;
+		if (u->state == PB_UP_LIVE)
+			total += capacity;
+		if ((slots >> i & 1) != 0 && capacity > largest)
+			largest = capacity;
 	}
-	return false;
+	return work <= largest && work <= total * (1 - headroom);
 }
 
 void
