Add pb-load, a load tool that checks every byte of every answer

Experiments and fault tests need callers whose answers are known in advance. pb-load sends streamed and whole chats that return with their history, and plain calls with and without idempotency keys, at a rate or in a closed loop, to a list of routers. It compares each answer with the function that the engine stand-in answers with and counts outcomes, times and cached tokens by rank. Exit code 1 when an answer is wrong, short and shown as complete, or a call ran twice.

Plain calls use a fresh connection each: libcurl resends a request on a reused connection that broke, which would count as a call that ran twice. A closed loop pauses 10 ms after a request that was not complete; without the pause it would spin on refusals. libcurl multi in one thread was enough: 300 requests in flight.

tests/test-load.c feeds cut, changed, foreign and doubled answers in parts of random length and checks the verdict.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,10 @@
 	$(CC) $(CFLAGS) -o $@ $< $(STANDIN_LIB_OBJ) $(LIB) $(LDLIBS)
 
 $(TESTS) $(MEASURES): $(B)/%: $(B)/tests/%.o $(TEST_LIB_OBJ) $(LIB)
-	$(CC) $(CFLAGS) -o $@ $< $(TEST_LIB_OBJ) $(LIB) $(LDLIBS) -lcunit
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(LIB) $(LDLIBS) -lcunit
+
+# Tests the parts of the load tool.
+$(B)/test-load: $(STANDIN_LIB_OBJ)
 
 deps:
 	scripts/install-deps
