Test faults that trial changes of the code did not reveal

Change: checks that a silence saves up one second of bytes at most, that an unknown kind is refused, that an answer leaves out what the request held, that widely known facts do not hold back new loads, that a relapse during damping does not double it, and that an oversized TCP record ends its connection at once.

--- a/tests/test-digest.c
+++ b/tests/test-digest.c
@@ -103,6 +103,17 @@
 	CU_ASSERT_EQUAL(seen.kinds[PB_FACT_LEAVING], 1);
 	CU_ASSERT_EQUAL(seen.kinds[PB_FACT_CELL_LOAD], 1);
 	CU_ASSERT(seen.kinds[PB_FACT_ACCOUNT] > 10);
+	/* Valuable facts that many know do not hold back new loads. */
+	for (i = 0; i < 60; i++)
+		state(a, PB_FACT_HEALTH, i, 1, 60 * PB_SEC);
+	pb_advance_clock(&clk, PB_SEC);
+	memset(&seen, 0, sizeof(seen));
+	for (i = 0; i < 20; i++) {
+		send_once(a, b, &seen);
+		pb_advance_clock(&clk, 500 * PB_MSEC);
+	}
+	CU_ASSERT_EQUAL(seen.kinds[PB_FACT_HEALTH], 60);
+	CU_ASSERT(seen.kinds[PB_FACT_ACCOUNT] > 50);
 	drop2(a, b);
 }
 
@@ -132,6 +143,13 @@
 	for (i = 0, t = 0; i < 400; i++)
 		t += seen.subject[i];
 	CU_ASSERT_EQUAL(t, 400);
+	/* Silence saves up the bytes of one second at most. */
+	pb_advance_clock(&clk, 60 * PB_SEC);
+	for (t = 0, wire = 0; t < 10; t++) {
+		len = send_once(a, b, &seen);
+		wire += len > 0 ? len + 72 : 0;
+	}
+	CU_ASSERT(wire > 1000 && wire <= 2000);
 	drop2(a, b);
 }
 
@@ -234,7 +252,7 @@
 	struct seen seen = {0};
 	uint8_t buf[CAP], bad[CAP];
 	uint64_t sender, incarnation;
-	size_t len, i, n;
+	size_t len, i, n, before;
 	int run;
 
 	state(a, PB_FACT_HEALTH, 5, 1, 10 * PB_SEC);
@@ -255,20 +273,21 @@
 	    pb_merge_digest(ctx, a, buf, len, on_fact, &seen), PB_EPROTO);
 	CU_ASSERT_EQUAL(
 	    pb_merge_digest(ctx, b, buf, len, on_fact, &seen), PB_OK);
-	n = held(b);
+	before = held(b);
 	memset(&seen, 0, sizeof(seen));
 	state(old, PB_FACT_HEALTH, 6, 1, 10 * PB_SEC);
-	len = pb_pack_digest(ctx, old, bad, sizeof(bad));
+	n = pb_pack_digest(ctx, old, bad, sizeof(bad));
 	CU_ASSERT_EQUAL(
-	    pb_merge_digest(ctx, b, bad, len, on_fact, &seen), PB_EPROTO);
+	    pb_merge_digest(ctx, b, bad, n, on_fact, &seen), PB_EPROTO);
 	memcpy(bad, buf, 36);
 	bad[4] ^= 1; /* fleet */
 	CU_ASSERT_EQUAL(
 	    pb_merge_digest(ctx, b, bad, 36, on_fact, &seen), PB_EPROTO);
-	memcpy(bad, buf, 36);
-	memset(bad + 36, 0xff, 40); /* unknown kind */
+	memcpy(bad, buf, len);
+	CU_ASSERT_EQUAL(bad[36] >> 4, PB_FACT_HEALTH);
+	bad[36] |= 0xf0; /* unknown kind */
 	CU_ASSERT_EQUAL(
-	    pb_merge_digest(ctx, b, bad, 76, on_fact, &seen), PB_EPROTO);
+	    pb_merge_digest(ctx, b, bad, len, on_fact, &seen), PB_EPROTO);
 	for (run = 0; run < 20000; run++) {
 		len = pb_next_random(&rnd) % sizeof(bad);
 		for (i = 0; i < len; i++)
@@ -279,7 +298,7 @@
 	pb_read_digest_stats(b, &stats);
 	CU_ASSERT(stats.rejected >= 20003);
 	CU_ASSERT_EQUAL(seen.count, 0);
-	CU_ASSERT_EQUAL(held(b), n);
+	CU_ASSERT_EQUAL(held(b), before);
 	drop2(a, b);
 	pb_drop_digest(ctx, old);
 }
@@ -343,6 +362,30 @@
 	drop2(a, b);
 }
 
+/* Guards against an answer that repeats what the request held. */
+static void
+test_answer(void)
+{
+	struct pb_digest *a = make(1, 1, 9000, 50), *b = make(2, 1, 9000, 50);
+	uint8_t buf[CAP], back[CAP];
+	struct pb_digest_stats stats;
+	struct seen seen = {0};
+	size_t len, answer;
+
+	state(a, PB_FACT_HEALTH, 5, 1, 60 * PB_SEC);
+	state(b, PB_FACT_HEALTH, 6, 1, 60 * PB_SEC);
+	len = pb_pack_digest(ctx, a, buf, sizeof(buf));
+	CU_ASSERT_EQUAL(pb_answer_digest(ctx, b, buf, len, on_fact, &seen, back,
+			    sizeof(back), &answer),
+	    PB_OK);
+	pb_read_digest_stats(b, &stats);
+	CU_ASSERT(seen.count == 1 && stats.sent_facts == 1);
+	CU_ASSERT_EQUAL(
+	    pb_merge_digest(ctx, a, back, answer, on_fact, &seen), PB_OK);
+	CU_ASSERT(seen.count == 2 && seen.last.subject == 6);
+	drop2(a, b);
+}
+
 /* Guards against a live router that cannot contradict a wrong suspicion. */
 static void
 test_refutation(void)
@@ -453,6 +496,7 @@
 	CU_add_test(s, "rejects", test_rejects);
 	CU_add_test(s, "versions", test_versions);
 	CU_add_test(s, "shared facts", test_shared_facts);
+	CU_add_test(s, "answer", test_answer);
 	CU_add_test(s, "refutation", test_refutation);
 	CU_add_test(s, "spread", test_spread);
 	CU_basic_run_tests();
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -158,6 +158,14 @@
 	fail(m, e0, 3);
 	health(ctx, m, e0);
 	CU_ASSERT_EQUAL(recover(m, e0), PB_SEC);
+	/* A relapse before the recovery does not double it. */
+	fail(m, e0, 3);
+	health(ctx, m, e0);
+	pb_note_evidence(ctx, m, e0, 1, PB_SAW_ANSWER);
+	health(ctx, m, e0);
+	fail(m, e0, 3);
+	health(ctx, m, e0);
+	CU_ASSERT_EQUAL(recover(m, e0), 2 * PB_SEC);
 	pb_drop_members(ctx, m);
 }
 
--- a/tests/test-peer.c
+++ b/tests/test-peer.c
@@ -274,6 +274,7 @@
 	struct pb_peer_server *s = start(&h, NULL);
 	const char *to = pb_peer_server_address(s);
 	int slow = raw_socket(SOCK_STREAM, to, NULL, 0);
+	int greedy = raw_socket(SOCK_STREAM, to, NULL, 0);
 	uint32_t reply[7] = {0};
 	int64_t begin;
 	int rc;
@@ -288,11 +289,19 @@
 	    recv(slow, reply, sizeof(reply), MSG_WAITALL), sizeof(reply));
 	CU_ASSERT_EQUAL(reply[0], htonl(0x80000000U | 24));
 	CU_ASSERT_EQUAL(reply[1], 1);
+	/* A record that is too long ends its connection only. */
+	words[0] = htonl(1 << 20);
+	begin = pb_now(ctx);
+	CU_ASSERT_EQUAL(send(greedy, words, 8, MSG_NOSIGNAL), 8);
+	CU_ASSERT_EQUAL(recv(greedy, reply, sizeof(reply), 0), 0);
+	CU_ASSERT(pb_now(ctx) - begin < PB_SEC);
+	words[0] = htonl(16);
 	CU_ASSERT_EQUAL(send(slow, words, 8, MSG_NOSIGNAL), 8);
 	begin = pb_now(ctx);
 	pb_drop_peer_server(ctx, s);
 	CU_ASSERT(pb_now(ctx) - begin < 500 * PB_MSEC);
 	close(slow);
+	close(greedy);
 }
 
 static void *
