Keep the send lists intact when the number of peers changes

Cause: the rank of a queued fact was computed again when it left its list. A change of the number of peers in between changed the rank of loads, so that a fact was taken out of the wrong list and all loads behind it were never sent: in the test, 7 instead of 166 of the waiting facts arrived.

Change: an entry stores the rank of the list that it is in.

--- a/source/digest/digest-store.c
+++ b/source/digest/digest-store.c
@@ -154,8 +154,8 @@
 		list->tail = e->age_prev;
 }
 
-static struct entry_list *
-send_list(struct pb_digest *d, const struct entry *e)
+static int
+send_rank(const struct pb_digest *d, const struct entry *e)
 {
 	int rank = e->level;
 
@@ -163,16 +163,13 @@
 		rank += d->load_rank;
 	else
 		rank += kind_rank[e->fact.kind];
-
-	if (rank >= DIGEST_RANKS)
-		rank = DIGEST_RANKS - 1;
-	return &d->send[rank][e->fact.kind];
+	return rank < DIGEST_RANKS ? rank : DIGEST_RANKS - 1;
 }
 
 static void
 unlink_send(struct pb_digest *d, struct entry *e)
 {
-	struct entry_list *list = send_list(d, e);
+	struct entry_list *list = &d->send[e->rank][e->fact.kind];
 
 	if (e->left == 0)
 		return;
@@ -197,7 +194,8 @@
 	e->left = left;
 	if (left == 0)
 		return;
-	list = send_list(d, e);
+	e->rank = send_rank(d, e);
+	list = &d->send[e->rank][e->fact.kind];
 	e->send_prev = list->tail;
 	e->send_next = NULL;
 	if (list->tail != NULL)
--- a/source/digest/digest-store.h
+++ b/source/digest/digest-store.h
@@ -37,6 +37,7 @@
 	uint64_t heard; /* sequence number of the last merge with it */
 	int level; /* sends so far; for some kinds also duplicates received */
 	int left; /* sends left; 0: in no send list */
+	int rank; /* of its send list; load_rank may change meanwhile */
 	bool sent; /* this version was sent at least once */
 };
 
--- a/tests/test-digest.c
+++ b/tests/test-digest.c
@@ -104,6 +104,7 @@
 	CU_ASSERT_EQUAL(seen.kinds[PB_FACT_CELL_LOAD], 1);
 	CU_ASSERT(seen.kinds[PB_FACT_ACCOUNT] > 10);
 	/* Valuable facts that many know do not hold back new loads. */
+	pb_set_digest_peers(ctx, a, 101);
 	for (i = 0; i < 60; i++)
 		state(a, PB_FACT_HEALTH, i, 1, 60 * PB_SEC);
 	pb_advance_clock(&clk, PB_SEC);
