Fuzz the send lists and test scoped and urgent digests

Cause: the fault in the send lists could free a fact that was still listed, but the fuzz target never changed the number of peers while facts waited. Digests for other regions and the time of the next exchange had no test.

Change: the fuzz target states own facts, changes the number of peers and moves the clock around the merge; a test covers far digests and urgent changes.

--- a/include/poplarbeam/digest.h
+++ b/include/poplarbeam/digest.h
@@ -20,7 +20,7 @@
  */
 enum pb_fact_kind {
 	PB_FACT_ROUTER = 1, /* state of a router */
-	PB_FACT_REVISION, /* settings revision in force */
+	PB_FACT_REVISION, /* settings revision in force; subject 0 */
 	PB_FACT_LEAVING, /* upstream that is leaving */
 	PB_FACT_CONTAINED, /* fingerprint that crashes upstreams */
 	PB_FACT_HEALTH, /* upstream seen down or well */
--- a/tests/fuzz/fuzz-digest.c
+++ b/tests/fuzz/fuzz-digest.c
@@ -37,7 +37,9 @@
 /*
  * Guards against input that is read beyond its end, that is refused but changes
  * something, or that is accepted and then relayed in a form that peers refuse.
- * An odd first byte puts a valid header in front of the input.
+ * An odd first byte puts a valid header in front of the input. Own facts, the
+ * number of peers and the time change around the merge, so that the send lists
+ * of a full store are exercised.
  */
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
@@ -59,9 +61,15 @@
 	if (data[0] & 1)
 		head = pb_pack_digest(ctx, c, in, HEADER);
 	memcpy(in + head, data + 1, len - 1);
+	pb_set_digest_peers(ctx, a, data[0]);
+	pb_state_fact(ctx, a, PB_FACT_CELL_LOAD, 1, in, 8, PB_SEC);
+	pb_state_fact(ctx, a, PB_FACT_ROUTER, 1, in, 8, 9 * PB_SEC);
 	if (pb_merge_digest(ctx, a, in, head + len - 1, count_fact, &seen) !=
 	    PB_OK)
 		require(seen == 0);
+	pb_set_digest_peers(ctx, a, (size_t)data[len - 1] * 2);
+	pb_pack_digest(ctx, a, out, sizeof(out));
+	pb_advance_clock(&clk, data[len / 2] * 20 * PB_MSEC);
 	packed = pb_pack_digest(ctx, a, out, sizeof(out));
 	require(packed > 0);
 	require(
--- a/tests/test-digest.c
+++ b/tests/test-digest.c
@@ -10,10 +10,12 @@
 static struct pb_manual_clock clk;
 static struct pb_context *ctx;
 
+/* Router 9 is in another region than the others. */
 static struct pb_digest *
 make(uint64_t self, uint64_t incarnation, double rate, size_t max_facts)
 {
 	struct pb_digest_policy p = {.self = self,
+	    .region = self == 9 ? 2 : 1,
 	    .incarnation = incarnation,
 	    .fleet = FLEET,
 	    .bytes_per_sec = rate,
@@ -387,6 +389,34 @@
 	drop2(a, b);
 }
 
+/* Guards against loads sent to other regions, and late urgent changes. */
+static void
+test_far_and_urgent(void)
+{
+	struct pb_digest *a = make(1, 1, 9000, 50), *b = make(9, 1, 9000, 50);
+	struct seen seen = {0};
+	uint8_t buf[CAP], back[CAP];
+	size_t len, answer;
+
+	state(a, PB_FACT_CELL_LOAD, 5, 1, 60 * PB_SEC);
+	state(b, PB_FACT_ACCOUNT, 6, 1, 60 * PB_SEC);
+	len = pb_pack_far_digest(ctx, a, buf, sizeof(buf));
+	CU_ASSERT_EQUAL(pb_next_exchange(a, 400), clk.now_us + 400);
+	state(a, PB_FACT_LEAVING, 7, 1, 60 * PB_SEC);
+	CU_ASSERT_EQUAL(pb_next_exchange(a, 400), clk.now_us + 100);
+	CU_ASSERT_EQUAL(pb_answer_digest(ctx, b, buf, len, on_fact, &seen, back,
+			    sizeof(back), &answer),
+	    PB_OK);
+	CU_ASSERT_EQUAL(
+	    pb_merge_digest(ctx, a, back, answer, on_fact, &seen), PB_OK);
+	CU_ASSERT_EQUAL(seen.count, 0);
+	len = pb_pack_far_digest(ctx, a, buf, sizeof(buf));
+	CU_ASSERT_EQUAL(
+	    pb_merge_digest(ctx, b, buf, len, on_fact, &seen), PB_OK);
+	CU_ASSERT(seen.count == 1 && seen.kinds[PB_FACT_LEAVING] == 1);
+	drop2(a, b);
+}
+
 /* Guards against a live router that cannot contradict a wrong suspicion. */
 static void
 test_refutation(void)
@@ -498,6 +528,7 @@
 	CU_add_test(s, "versions", test_versions);
 	CU_add_test(s, "shared facts", test_shared_facts);
 	CU_add_test(s, "answer", test_answer);
+	CU_add_test(s, "far and urgent", test_far_and_urgent);
 	CU_add_test(s, "refutation", test_refutation);
 	CU_add_test(s, "spread", test_spread);
 	CU_basic_run_tests();
