--- a/source/router/router-members.c
+++ b/source/router/router-members.c
@@ -29,8 +29,8 @@
 {
 	struct pb_members_policy policy = {.self = r->node->boot.instance,
 	    .region = r->node->boot.region,
-	    .suspect_us = 2 * PB_SEC,
-	    .dead_us = 2 * PB_SEC,
+	    .suspect_us = 60 * PB_SEC,
+	    .dead_us = 5 * PB_SEC,
 	    .damp_min_us = 1 * PB_SEC,
 	    .damp_max_us = 60 * PB_SEC,
 	    .eject_share = 0.5,
