Stop trying parked suspects when no upstream is free of them

Change: the pass over the parked suspects ends when suspects run on all live upstreams, and copies are searched for only when a slot is left.

--- a/source/cell/cell-internal.h
+++ b/source/cell/cell-internal.h
@@ -81,9 +81,14 @@
     struct pb_context *ctx, struct pb_cell *cell, uint64_t fingerprint);
 bool pb_is_suspect(
     struct pb_context *ctx, struct pb_cell *cell, const struct request *rq);
-/* Slots on which another suspect than rq runs; all when its own twin runs. */
-uint64_t pb_suspect_slots(
-    struct pb_context *ctx, struct pb_cell *cell, const struct request *rq);
+/* Slots on which suspects run. */
+uint64_t pb_suspect_slots(struct pb_context *ctx, struct pb_cell *cell);
+/*
+ * True when a request of the same fingerprint runs. Copies of a suspect run one
+ * at a time: a caller that resends the request at once could crash several
+ * upstreams with it otherwise.
+ */
+bool pb_copy_runs(const struct pb_cell *cell, const struct request *rq);
 /* Gives a strike to all that runs on the crashed upstream of rq. */
 void pb_strike_upstream(
     struct pb_context *ctx, struct pb_cell *cell, const struct request *rq);
--- a/source/cell/cell-serve.c
+++ b/source/cell/cell-serve.c
@@ -136,8 +136,11 @@
 		if ((slots & ~avoid) != 0)
 			slots &= ~avoid;
 	}
-	if (pb_is_suspect(ctx, cell, rq))
-		slots &= ~pb_suspect_slots(ctx, cell, rq);
+	if (pb_is_suspect(ctx, cell, rq)) {
+		slots &= ~pb_suspect_slots(ctx, cell);
+		if (slots != 0 && pb_copy_runs(cell, rq))
+			slots = 0;
+	}
 	return slots;
 }
 
@@ -218,6 +221,7 @@
 {
 	struct request *rq, *next;
 	struct pb_queue_stats stats;
+	uint64_t live = pb_live_slots(cell->placement);
 	int urgent = 0;
 
 	if (cell->parked == NULL)
@@ -231,6 +235,8 @@
 		const struct pb_work *w = &rq->work;
 
 		next = rq->next;
+		if ((live & ~pb_suspect_slots(ctx, cell)) == 0)
+			break;
 		unlink_parked(cell, rq);
 		if (place_request(ctx, cell, rq,
 			cell->policy.queue.rank[w->rank].headroom) ==
--- a/source/cell/cell-strike.c
+++ b/source/cell/cell-strike.c
@@ -85,20 +85,23 @@
 	return pb_read_strike(ctx, cell, rq->work.fingerprint, &s);
 }
 
-uint64_t
-pb_suspect_slots(
-    struct pb_context *ctx, struct pb_cell *cell, const struct request *rq)
+bool
+pb_copy_runs(const struct pb_cell *cell, const struct request *rq)
 {
 	const struct request *r;
-	int slot;
 
-	/*
-	 * Copies of a suspect run one at a time: a caller that resends the
-	 * request at once could crash several upstreams with it otherwise.
-	 */
 	for (r = cell->running; r != NULL; r = r->next)
 		if (r->work.fingerprint == rq->work.fingerprint)
-			return UINT64_MAX;
+			return true;
+	return false;
+}
+
+uint64_t
+pb_suspect_slots(struct pb_context *ctx, struct pb_cell *cell)
+{
+	const struct request *r;
+	int slot;
+
 	if (cell->suspect_slots_known)
 		return cell->suspect_slots;
 	cell->suspect_slots = 0;
