--- a/source/router/router-start.c
+++ b/source/router/router-start.c
@@ -62,6 +62,8 @@
 	    [THREAD_LIST] = router_run_list,
 	    [THREAD_SETTINGS] = router_run_settings,
 	    [THREAD_PROBE] = router_run_probe,
+	    [THREAD_DIGEST] = router_run_digest,
+	    [THREAD_CLAIMS] = router_run_claims,
 	};
 	int i;
 
@@ -98,7 +100,8 @@
 		pb_log_error(ctx, PB_WARN, NULL);
 	router_publish_view(ctx, r);
 	router_poll_settings(ctx, r);
-	if (start_servers(ctx, r) != PB_OK || start_threads(ctx, r) != PB_OK)
+	if (router_start_peer(ctx, r) != PB_OK ||
+	    start_servers(ctx, r) != PB_OK || start_threads(ctx, r) != PB_OK)
 		goto fail;
 	pb_log(ctx, PB_INFO, "start", NULL, NULL, "serving callers on %s",
 	    boot->caller);
@@ -141,6 +144,8 @@
 	atomic_store(&node->accepting, 0);
 	while ((running = count_running(node)) > 0 && pb_now(ctx) < deadline_us)
 		node->clock->ops->sleep(node->clock, DRAIN_POLL);
+	while (router_repair_claims(ctx, r) > 0 && pb_now(ctx) < deadline_us)
+		node->clock->ops->sleep(node->clock, DRAIN_POLL);
 	if (running > 0)
 		pb_log(ctx, PB_ERROR, "drain", NULL, NULL,
 		    "%lld requests were still in progress at the deadline",
@@ -173,11 +178,15 @@
 	pb_drop_relay_server(ctx, r->relay_server);
 	if (r->admin_server != NULL)
 		mg_stop(r->admin_server);
+	pb_drop_peer_server(ctx, r->peer_server);
+	if (r->digest != NULL)
+		pb_drop_digest(ctx, r->digest);
 	if (r->gate != NULL)
 		pb_drop_settings_gate(ctx, r->gate);
 	if (r->members != NULL)
 		pb_drop_members(ctx, r->members);
 	pb_clear_buf(&r->tree);
+	pb_clear_tree(&r->stored);
 	pb_drop_owner(ctx, r->owner);
 	pb_drop_node(ctx, r->node);
 	free(r);
--- a/source/store/store-tree.c
+++ b/source/store/store-tree.c
@@ -63,8 +63,8 @@
 	return p;
 }
 
-static int
-load_subtree(
+int
+pb_load_subtree(
     struct pb_context *ctx, struct pb_settings_tree *tree, const json_t *object)
 {
 	struct pb_subtree *sub = add_subtree(tree);
@@ -91,8 +91,9 @@
 	if (page->rc != PB_OK)
 		return;
 	object = pb_parse_row(page->ctx, row);
-	page->rc = object != NULL ? load_subtree(page->ctx, page->tree, object)
-				  : PB_EPROTO;
+	page->rc = object != NULL
+	    ? pb_load_subtree(page->ctx, page->tree, object)
+	    : PB_EPROTO;
 	if (page->rc == PB_OK) {
 		page->tree->subtrees[page->tree->count - 1].version =
 		    row->version;
@@ -157,14 +158,24 @@
 	return NULL;
 }
 
+static bool
+is_fleet(const struct pb_subtree *sub)
+{
+	return strcmp(sub->info.team, PB_FLEET_TEAM) == 0;
+}
+
 struct pb_settings *
-pb_parse_tree(struct pb_context *ctx, const struct pb_settings_tree *tree,
-    struct pb_settings_report *report)
+pb_parse_tree_changes(struct pb_context *ctx, const struct pb_settings *old,
+    const struct pb_settings_tree *tree, struct pb_settings_report *report)
 {
+	const struct pb_subtree *fleet = pb_find_subtree(tree, PB_FLEET_TEAM);
 	struct pb_settings_text *texts;
 	struct pb_settings *settings = NULL;
-	size_t i;
+	size_t i, n = 0;
 
+	if (old != NULL && fleet != NULL &&
+	    fleet->info.revision > old->revision)
+		old = NULL;
 	texts = calloc(tree->count + 1, sizeof(*texts));
 	if (texts == NULL) {
 		pb_set_error(
@@ -173,18 +184,27 @@
 	}
 	for (i = 0; i < tree->count; i++) {
 		const struct pb_subtree *sub = &tree->subtrees[i];
-		bool fleet = strcmp(sub->info.team, PB_FLEET_TEAM) == 0;
 
-		texts[i].name = sub->info.team;
-		texts[i].team = fleet ? "" : sub->info.team;
-		texts[i].text = (struct pb_str){sub->text.data, sub->text.len};
+		if (old != NULL && !is_fleet(sub) &&
+		    sub->info.revision <= old->revision)
+			continue;
+		texts[n].name = sub->info.team;
+		texts[n].team = is_fleet(sub) ? "" : sub->info.team;
+		texts[n++].text =
+		    (struct pb_str){sub->text.data, sub->text.len};
 	}
-	settings =
-	    pb_parse_settings(ctx, texts, tree->count, tree->revision, report);
+	settings = pb_parse_changes(ctx, old, texts, n, tree->revision, report);
 	free(texts);
 	return settings;
 }
 
+struct pb_settings *
+pb_parse_tree(struct pb_context *ctx, const struct pb_settings_tree *tree,
+    struct pb_settings_report *report)
+{
+	return pb_parse_tree_changes(ctx, NULL, tree, report);
+}
+
 int
 pb_format_tree(struct pb_context *ctx, const struct pb_settings_tree *tree,
     struct pb_buf *out)
@@ -234,7 +254,7 @@
 	tree->revision = (uint64_t)json_integer_value(revision);
 	json_array_foreach(list, i, object)
 	{
-		rc = load_subtree(ctx, tree, object);
+		rc = pb_load_subtree(ctx, tree, object);
 		if (rc != PB_OK)
 			break;
 	}
