Move the chat trace out of measure-placement

Change: kinds of traffic and the trace move to tests/lib/chat-trace.c. The program prints the same table as before (compared with diff).

--- a/tests/measure-placement.c
+++ b/tests/measure-placement.c
@@ -1,6 +1,8 @@
 #include "poplarbeam/cell.h"
 #include "poplarbeam/lru.h"
 
+#include "chat-trace.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,49 +21,15 @@
 #define CHURN (90 * PB_SEC) /* between a leave, a crash, a leave, ... */
 #define DOWN (15 * PB_SEC) /* from a leave or crash to the join */
 #define CACHE_CHATS 400 /* chats whose prefix an engine keeps */
-#define PER_TOKEN (33 * PB_MSEC)
-#define PREFILL_PER_SEC 8000 /* prompt tokens */
 #define BOUND 1.25
 #define INNER 1.20
 #define FLOOR_WORK 20000
-#define ROUTERS 9
 #define REPORT_LAG PB_SEC /* also the age of the mean of several owners */
 #define DIGEST (500 * PB_MSEC)
 #define AFTER_CHANGE PB_SEC /* allowed over the bound after a view change */
 #define TAKEOVER (300 * PB_SEC) /* between changes of the cell's owner */
-#define KINDS 4
 #define REQUESTS_MAX 200000
 
-struct kind {
-	const char *name;
-	double share; /* of chats */
-	uint32_t first; /* prompt tokens of the first turn */
-	uint32_t next; /* new prompt tokens of later turns */
-	uint32_t answer; /* tokens, mean */
-	int turns; /* mean */
-	int64_t gap; /* mean pause between turns */
-};
-
-static const struct kind kinds[KINDS] = {
-    {"layout", 0.3, 4000, 600, 600, 8, 60 * PB_SEC},
-    {"contract", 0.2, 6000, 300, 400, 4, 120 * PB_SEC},
-    {"reply", 0.3, 800, 200, 150, 5, 60 * PB_SEC},
-    {"tag", 0.2, 1500, 50, 10, 3, 30 * PB_SEC}};
-
-struct call {
-	int64_t at;
-	uint64_t chat;
-	int kind;
-	int router;
-	uint32_t reusable; /* prompt tokens of earlier turns */
-	uint32_t prompt;
-	uint32_t answer;
-	uint32_t work;
-	int node; /* where it runs, -1 for nowhere */
-	bool waited;
-	bool waits; /* in the cell's queue */
-};
-
 static const struct pb_cell_policy cell_policy = {
     .placement = {BOUND, INNER, FLOOR_WORK, 30 * PB_SEC, 3 * PB_SEC, 65536},
     .queue = {.rank_count = 1,
@@ -139,7 +107,7 @@
 	struct pb_context *ctx;
 	struct pb_cell *cell;
 	struct pb_lru *located[ROUTERS];
-	struct call *calls; /* the trace, and repeats after crashes */
+	struct trace_call *calls; /* the trace, and repeats after crashes */
 	uint32_t count;
 	struct event *heap;
 	size_t heap_len;
@@ -155,83 +123,6 @@
 	struct result res;
 };
 
-static double
-exponential(struct pb_random *rnd, double mean)
-{
-	double u = pb_next_unit(rnd), sum = 0, term = u;
-	int i;
-
-	/* -ln(1 - u) as a series: exact enough, and the same everywhere. */
-	for (i = 1; i < 60; i++, term *= u)
-		sum += term / i;
-	return mean * sum;
-}
-
-static int
-by_time(const void *a, const void *b)
-{
-	const struct call *x = a, *y = b;
-
-	if (x->at != y->at)
-		return x->at < y->at ? -1 : 1;
-	return x->chat < y->chat ? -1 : x->chat > y->chat;
-}
-
-static uint32_t
-add_chat(struct call *calls, uint32_t count, uint64_t chat, int64_t at,
-    struct pb_random *rnd)
-{
-	double pick = pb_next_unit(rnd);
-	uint32_t context = 0;
-	const struct kind *k;
-	int kind = 0;
-
-	while (kind < KINDS - 1 && pick >= kinds[kind].share)
-		pick -= kinds[kind++].share;
-	k = &kinds[kind];
-	do {
-		struct call *c = &calls[count];
-
-		if (at >= END || count == REQUESTS_MAX)
-			break;
-		*c = (struct call){.at = at, .chat = chat, .kind = kind};
-		c->router = (int)(pb_next_random(rnd) % ROUTERS);
-		c->reusable = context;
-		c->prompt = context + (context == 0 ? k->first : k->next);
-		c->answer = (uint32_t)(k->answer * (0.5 + pb_next_unit(rnd)));
-		c->work = c->prompt + k->answer;
-		context = c->prompt + c->answer;
-		at += 2 * c->answer * PER_TOKEN + 2 * PB_SEC +
-		    (int64_t)exponential(rnd, (double)k->gap);
-		count++;
-	} while (pb_next_unit(rnd) * k->turns > 1);
-	return count;
-}
-
-/* The same calls for all policies, in order of time. */
-static uint32_t
-make_trace(struct call *calls)
-{
-	struct pb_random rnd = {SEED};
-	double service = 0, gap;
-	uint64_t chat = 1;
-	uint32_t count = 0;
-	int64_t at = 0;
-	int i;
-
-	for (i = 0; i < KINDS; i++)
-		service += kinds[i].share * kinds[i].turns *
-		    (kinds[i].answer * (double)PER_TOKEN +
-			2.0 * kinds[i].next / PREFILL_PER_SEC * PB_SEC);
-	gap = service / (ENGINES * IN_FLIGHT);
-	while (at < END && count < REQUESTS_MAX) {
-		at += (int64_t)exponential(&rnd, gap);
-		count = add_chat(calls, count, chat++, at, &rnd);
-	}
-	qsort(calls, count, sizeof(*calls), by_time);
-	return count;
-}
-
 static bool
 before(const struct event *a, const struct event *b)
 {
@@ -312,7 +203,7 @@
 }
 
 static uint32_t
-cached_tokens(struct sim *s, int node, const struct call *c)
+cached_tokens(struct sim *s, int node, const struct trace_call *c)
 {
 	const uint64_t *v = pb_find_lru(s->nodes[node].cache, c->chat);
 	uint32_t tokens = v != NULL ? (uint32_t)*v : 0;
@@ -324,7 +215,7 @@
 static void
 start_call(struct sim *s, uint32_t i, int node)
 {
-	struct call *c = &s->calls[i];
+	struct trace_call *c = &s->calls[i];
 	struct node *n = &s->nodes[node];
 	uint32_t reused = cached_tokens(s, node, c);
 	int64_t time = c->answer * PER_TOKEN +
@@ -364,7 +255,7 @@
 
 /* Load of a node as this policy knows it at the router of the call. */
 static double
-known_load(const struct sim *s, const struct call *c, int node)
+known_load(const struct sim *s, const struct trace_call *c, int node)
 {
 	const struct node *n = &s->nodes[node];
 	double sum = n->own[c->router];
@@ -380,7 +271,7 @@
 }
 
 static int
-least_node(const struct sim *s, const struct call *c)
+least_node(const struct sim *s, const struct trace_call *c)
 {
 	int i, best = -1;
 
@@ -414,7 +305,7 @@
 }
 
 static bool
-within(const struct sim *s, const struct call *c, int node, double limit)
+within(const struct sim *s, const struct trace_call *c, int node, double limit)
 {
 	double total = c->work;
 	int i, n = live_count(s);
@@ -430,7 +321,7 @@
 
 /* The node within the bound that has most of the prompt in its cache. */
 static int
-choose_perfect(struct sim *s, const struct call *c)
+choose_perfect(struct sim *s, const struct trace_call *c)
 {
 	uint32_t tokens, most = 0;
 	int i, best = least_node(s, c);
@@ -448,7 +339,7 @@
 }
 
 static int
-choose_owners(struct sim *s, struct call *c)
+choose_owners(struct sim *s, struct trace_call *c)
 {
 	int i, node, n = live_count(s);
 
@@ -462,7 +353,7 @@
 }
 
 static int
-choose_digests(struct sim *s, const struct call *c)
+choose_digests(struct sim *s, const struct trace_call *c)
 {
 	const uint64_t *at = pb_find_lru(s->located[c->router], c->chat);
 	int i, node = at != NULL ? (int)*at : -1;
@@ -476,7 +367,7 @@
 }
 
 static int
-choose_node(struct sim *s, struct call *c)
+choose_node(struct sim *s, struct trace_call *c)
 {
 	int node;
 
@@ -506,7 +397,7 @@
 static void
 submit_call(struct sim *s, uint32_t i, uint64_t resume_on)
 {
-	struct call *c = &s->calls[i];
+	struct trace_call *c = &s->calls[i];
 	struct pb_work w = {.id = i,
 	    .chat = c->chat,
 	    .account = (uint64_t)c->kind + 1,
@@ -533,7 +424,7 @@
 static void
 end_call(struct sim *s, const struct event *e)
 {
-	struct call *c = &s->calls[e->call];
+	struct trace_call *c = &s->calls[e->call];
 	struct node *n = &s->nodes[e->node_life & 0xff];
 
 	if (c->node < 0 || n->incarnation != e->node_life >> 8)
@@ -690,7 +581,7 @@
 }
 
 static void
-open_sim(struct sim *s, const struct call *trace, uint32_t count)
+open_sim(struct sim *s, const struct trace_call *trace, uint32_t count)
 {
 	uint32_t i;
 	int n;
@@ -721,7 +612,7 @@
 }
 
 static void
-run_policy(enum policy policy, const struct call *trace, uint32_t count,
+run_policy(enum policy policy, const struct trace_call *trace, uint32_t count,
     struct result *out)
 {
 	struct sim *s = calloc(1, sizeof(*s));
@@ -779,9 +670,10 @@
 int
 main(void)
 {
-	struct call *trace = calloc(REQUESTS_MAX, sizeof(*trace));
+	struct trace_call *trace = calloc(REQUESTS_MAX, sizeof(*trace));
 	struct result res[P_COUNT];
-	uint32_t count = make_trace(trace);
+	uint32_t count = make_chat_trace(
+	    trace, REQUESTS_MAX, SEED, END, ENGINES * IN_FLIGHT);
 	int p, k;
 
 	for (p = 0; p < P_COUNT; p++)
@@ -795,7 +687,7 @@
 	    "bound | of it later than 1 s after a view change | refused or "
 	    "waiting |");
 	for (k = 0; k < KINDS; k++)
-		printf(" reuse %s |", kinds[k].name);
+		printf(" reuse %s |", trace_kinds[k].name);
 	printf("\n|");
 	for (k = 0; k < 7 + KINDS; k++)
 		printf(" --- |");
