Bound the cost of the expected wait and of demand reports

With 18,000 accounts in one rank, each push walked all of them for the expected wait, and each report refilled every bucket, under the cell's lock. The estimate now looks at 256 accounts of a list and scales by its length; a report refills only accounts whose demand, which can only have decayed, still exceeds the least one to report. A cap on the accounts themselves was ruled out: 18,000 have to fit.

--- a/source/limit/limit-bucket.c
+++ b/source/limit/limit-bucket.c
@@ -322,10 +322,30 @@
 	return count;
 }
 
+/* The account's pressure and demand now; 0 when it is least or below. */
+static double
+read_pressure(struct pb_context *ctx, struct pb_limiter *l,
+    struct limit_account *a, double least, struct pb_account_demand *d)
+{
+	double p;
+
+	/* Demand only decays between requests: most need no refill. */
+	limit_read_own(a, d);
+	p = limit_pressure(&a->limits, d);
+	if (p > least) {
+		limit_refill(ctx, l, a);
+		limit_read_own(a, d);
+		p = limit_pressure(&a->limits, d);
+	}
+	a->reported = false;
+	return p > least ? p : 0;
+}
+
 size_t
 pb_read_demand(struct pb_context *ctx, struct pb_limiter *limiter,
     struct pb_account_demand *out, size_t cap)
 {
+	double least = REPORT_MIN / (limiter->cells > 0 ? limiter->cells : 1);
 	double pressure[PB_DEMAND_MAX], p;
 	struct pb_account_demand d;
 	struct limit_account *a;
@@ -335,11 +355,10 @@
 		cap = PB_DEMAND_MAX;
 	for (i = 0; i <= limiter->mask; i++)
 		for (a = limiter->buckets[i]; a != NULL; a = a->next) {
-			limit_refill(ctx, limiter, a);
-			a->reported = false;
-			limit_read_own(a, &d);
-			p = limit_pressure(&a->limits, &d);
-			if (cap > 0 && p * limiter->cells >= REPORT_MIN)
+			p = read_pressure(ctx, limiter, a,
+			    count == cap && cap > 0 ? pressure[cap - 1] : least,
+			    &d);
+			if (cap > 0 && p > 0)
 				count = insert_demand(
 				    out, pressure, count, cap, &d, p);
 		}
--- a/source/queue/queue-account.c
+++ b/source/queue/queue-account.c
@@ -24,6 +24,7 @@
 		a->next->prev = a->prev;
 	else
 		c->tail = a->prev;
+	c->count--;
 }
 
 static void
@@ -36,6 +37,7 @@
 	else
 		c->head = a;
 	c->tail = a;
+	c->count++;
 }
 
 static void
--- a/source/queue/queue-internal.h
+++ b/source/queue/queue-internal.h
@@ -31,6 +31,7 @@
 struct account_chain {
 	struct pb_queue_account *head;
 	struct pb_queue_account *tail;
+	uint32_t count;
 };
 
 struct rank_state {
--- a/source/queue/queue-wait.c
+++ b/source/queue/queue-wait.c
@@ -11,6 +11,8 @@
 static const double rate_sec[RATES] = {5.0, 30.0};
 #define LONG_WAIT_SEC 10.0
 
+/* Accounts looked at for one estimate; all 18,000 took 41 us a push. */
+#define SCAN_MAX 256
 /* Completions seen before the service rate counts as known. */
 #define RATE_COMPLETIONS 16
 /* Weight of a new item in the mean that sets a rank's quantum. */
@@ -103,30 +105,46 @@
 	return q->rate[k].busy_work / q->rate[k].busy_sec;
 }
 
+/*
+ * Work of a list of accounts that is served before an item that waits for
+ * this many rounds. A long list is estimated from its first SCAN_MAX.
+ */
+static double
+list_ahead(const struct pb_queue *q, int rank, enum account_list list,
+    const struct pb_queue_account *own, double rounds)
+{
+	const struct rank_state *r = &q->rank[rank];
+	const struct pb_queue_account *a = r->lists[list].head;
+	double ahead = 0, fair;
+	uint32_t seen = 0;
+
+	for (; a != NULL && seen < SCAN_MAX; a = a->next, seen++) {
+		fair = rounds * a->weight;
+		if (list == LIST_FRESH)
+			fair = fmax(fair, a->deficit);
+		if (a != own)
+			ahead += fmin((double)a->work, fair);
+	}
+	return a == NULL ? ahead : ahead * r->lists[list].count / seen;
+}
+
 /* Work of the item's own rank that is served before it. */
 static double
 work_ahead(struct pb_queue *q, const struct pb_queue_item *item)
 {
-	const struct rank_state *r = &q->rank[item->rank];
-	struct pb_queue_account *a, *own;
 	double weight = item->weight > 0 ? item->weight : 1;
-	double rounds = 0, ahead = 0, fair;
-	int i;
+	double rounds = 0, ahead = 0;
+	struct pb_queue_account *own;
 
 	own = queue_find_account(q, item->rank, item->account);
-	if (own != NULL && own->list == LIST_RING)
-		rounds = ((double)own->work + item->work) / weight;
-	else if (own != NULL)
-		rounds = (double)own->work / weight;
-	for (i = 0; i < 2; i++)
-		for (a = r->lists[i].head; a != NULL; a = a->next) {
-			fair = rounds * a->weight;
-			if (a != own && i == LIST_FRESH && fair < a->deficit)
-				fair = a->deficit;
-			ahead += a == own ? (double)a->work
-					  : fmin((double)a->work, fair);
-		}
-	return ahead;
+	if (own != NULL) {
+		ahead = (double)own->work;
+		rounds = ahead / weight;
+		if (own->list == LIST_RING)
+			rounds += item->work / weight;
+	}
+	return ahead + list_ahead(q, item->rank, LIST_FRESH, own, rounds) +
+	    list_ahead(q, item->rank, LIST_RING, own, rounds);
 }
 
 /* Share of the service that the rank has left by the more urgent ones. */
