--- a/source/router/router-digest.c
+++ b/source/router/router-digest.c
@@ -171,6 +171,28 @@
 	return n > 0;
 }
 
+/* The peer that failed last, unless it failed twice. */
+static bool
+find_peer(struct pb_router *r, struct pb_member *out, size_t *peers)
+{
+	struct pb_context ctx = pb_node_context(r->node);
+	struct pb_view *view;
+	const struct pb_member *m;
+
+	if (r->asked_again == r->failed_peer)
+		return false;
+	r->asked_again = r->failed_peer;
+	view = pb_node_view(r->node);
+	m = view != NULL ? pb_find_member(view, r->failed_peer) : NULL;
+	if (m != NULL) {
+		*out = *m;
+		*peers = view->count;
+	}
+	if (view != NULL)
+		pb_drop_view(&ctx, view);
+	return m != NULL;
+}
+
 static void
 exchange_with(
     struct pb_context *ctx, struct pb_router *r, const struct pb_member *peer)
@@ -195,10 +217,19 @@
 	rc = pb_exchange_digest(ctx, peer->info.rpc, out, len + REVISION_LEN,
 	    in, sizeof(in), &in_len, EXCHANGE_LIMIT, &r->control);
 	if (rc != PB_OK || in_len < REVISION_LEN) {
+		/*
+		 * One lost datagram says nothing; two failures in a row are
+		 * worth telling the others.
+		 */
+		if (r->failed_peer == peer->id_hash)
+			router_state_down(ctx, r, peer);
+		r->failed_peer = peer->id_hash;
 		pb_tell_evidence(ctx, r->node, peer->id_hash, 0,
 		    rc == PB_EUNAVAIL ? PB_SAW_REFUSAL : PB_SAW_TIMEOUT);
 		return;
 	}
+	if (r->failed_peer == peer->id_hash)
+		r->failed_peer = r->asked_again = 0;
 	if (in_len > REVISION_LEN) {
 		pthread_mutex_lock(&r->digest_lock);
 		rc = pb_merge_digest(ctx, r->digest, in + REVISION_LEN,
@@ -259,7 +290,9 @@
 	do {
 		router_state_facts(&ctx, r);
 		router_share_demand(&ctx, r);
-		if (choose_peer(r, &rnd, &peer, &peers)) {
+		/* Asks a silent peer once more at once, to be sure of it. */
+		if ((r->failed_peer != 0 && find_peer(r, &peer, &peers)) ||
+		    choose_peer(r, &rnd, &peer, &peers)) {
 			pthread_mutex_lock(&r->digest_lock);
 			pb_set_digest_peers(&ctx, r->digest, peers);
 			pthread_mutex_unlock(&r->digest_lock);
--- a/source/router/router-facts.c
+++ b/source/router/router-facts.c
@@ -3,7 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define STATE_TTL (6 * PB_SEC)
+/*
+ * With one exchange per router and period, a renewal takes longer to reach all
+ * routers the more there are.
+ */
+#define STATE_TTL_MIN (10 * PB_SEC)
+#define STATE_TTL_ROUTER (2 * PB_SEC) /* per router of the fleet */
+#define HEALTH_TTL (10 * PB_SEC)
 #define REVISION_TTL (60 * PB_SEC)
 #define LEAVING_TTL (120 * PB_SEC)
 #define ACCOUNT_TTL (60 * PB_SEC)
@@ -42,8 +48,15 @@
 {
 	struct pb_view *view = pb_node_view(r->node);
 	struct state_value v;
+	int64_t ttl_us = 0;
 	size_t i;
 
+	for (i = 0; view != NULL && i < view->count; i++)
+		ttl_us += view->members[i].info.role == PB_ROLE_ROUTER
+		    ? STATE_TTL_ROUTER
+		    : 0;
+	if (ttl_us < STATE_TTL_MIN)
+		ttl_us = STATE_TTL_MIN;
 	for (i = 0; view != NULL && i < view->count; i++) {
 		const struct pb_member *m = &view->members[i];
 
@@ -51,7 +64,7 @@
 		v.leaving = m->health == PB_HEALTH_LEAVING;
 		if (m->id_hash == r->node->id_hash)
 			state(ctx, r, PB_FACT_ROUTER, m->id_hash, &v, sizeof(v),
-			    STATE_TTL);
+			    ttl_us);
 		else if (m->info.role == PB_ROLE_UPSTREAM && v.leaving)
 			state(ctx, r, PB_FACT_LEAVING, m->id_hash, &v,
 			    sizeof(v), LEAVING_TTL);
@@ -75,6 +88,16 @@
 	state(ctx, r, PB_FACT_REVISION, 0, value, sizeof(value), REVISION_TTL);
 }
 
+void
+router_state_down(
+    struct pb_context *ctx, struct pb_router *r, const struct pb_member *peer)
+{
+	struct state_value v = {.leaving = 0};
+
+	pb_put_u64(v.incarnation, peer->info.incarnation);
+	state(ctx, r, PB_FACT_HEALTH, peer->id_hash, &v, sizeof(v), HEALTH_TTL);
+}
+
 /* What one cell has to state; filled in under the cell's lock. */
 struct cell_facts {
 	struct pb_router *router;
@@ -182,16 +205,20 @@
     struct pb_context *ctx, struct pb_router *r, const struct pb_fact *fact)
 {
 	const struct state_value *v = (const void *)fact->value;
+	enum pb_health health = PB_HEALTH_LIVE;
 
 	if (fact->len != sizeof(*v))
 		return;
 	/* Only a router itself states that it is alive or leaving. */
 	if (fact->kind == PB_FACT_ROUTER && fact->subject != fact->origin)
 		return;
+	if (fact->kind == PB_FACT_HEALTH)
+		health = PB_HEALTH_DOWN;
+	else if (v->leaving)
+		health = PB_HEALTH_LEAVING;
 	pthread_mutex_lock(&r->members_lock);
 	pb_note_peer_health(ctx, r->members, fact->subject,
-	    pb_get_u64(v->incarnation),
-	    v->leaving ? PB_HEALTH_LEAVING : PB_HEALTH_LIVE, fact->origin);
+	    pb_get_u64(v->incarnation), health, fact->origin);
 	pthread_mutex_unlock(&r->members_lock);
 }
 
@@ -222,6 +249,7 @@
 	switch (fact->kind) {
 	case PB_FACT_ROUTER:
 	case PB_FACT_LEAVING:
+	case PB_FACT_HEALTH:
 		take_state(&ctx, r, fact);
 		break;
 	case PB_FACT_REVISION:
--- a/source/router/router-internal.h
+++ b/source/router/router-internal.h
@@ -42,6 +42,8 @@
 	pthread_mutex_t digest_lock;
 	struct pb_digest *digest;
 	struct pb_peer_server *peer_server;
+	uint64_t failed_peer; /* did not answer the last exchange; 0: none */
+	uint64_t asked_again; /* failed peer that was asked a second time */
 	struct pb_peer_counts control; /* bytes of control traffic */
 
 	struct pb_relay_server *relay_server;
@@ -80,6 +82,9 @@
 void *router_run_digest(void *arg);
 /* States what this router knows. */
 void router_state_facts(struct pb_context *ctx, struct pb_router *r);
+/* States that a router did not answer repeatedly. */
+void router_state_down(
+    struct pb_context *ctx, struct pb_router *r, const struct pb_member *peer);
 /* Takes over what a peer stated. */
 void router_take_fact(void *arg, const struct pb_fact *fact);
 /* Tells the limiters of owned cells what the other cells see. */
