--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 VARIANT ?= release
 B := build/$(VARIANT)
 
-PKGS := libtirpc libcurl jansson yaml-0.1 libxxhash argtable2
+PKGS := libtirpc libcurl jansson yaml-0.1 libxxhash argtable2 libsodium
 CFLAGS_release := -O2 -g
 CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
     -fno-sanitize-recover=all
--- a/include/poplarbeam/settings.h
+++ b/include/poplarbeam/settings.h
@@ -106,9 +106,6 @@
 /* True for 1 to 47 letters, digits, ".", "_" and "-", not "." first. */
 bool pb_is_name(struct pb_str text);
 
-/* SHA-256 (FIPS 180-4), for account keys. */
-void pb_sha256(const void *data, size_t len, uint8_t out[PB_SHA256_LEN]);
-
 /*
  * Parses and checks documents and merges them into a new snapshot with one
  * reference, owned by the caller. NULL when any check failed; the report then
--- a/source/boot/boot-load.c
+++ b/source/boot/boot-load.c
@@ -14,32 +14,26 @@
 	const char *fallback;
 };
 
-#define TEXT(name, def)                                      \
-	{                                                    \
-#name, offsetof(struct pb_boot, name),       \
-		    sizeof(((struct pb_boot *)0)->name), def \
-	}
-#define THREADS(name, def)                                    \
-	{                                                     \
-#name, offsetof(struct pb_boot, name), 0, def \
-	}
+/* Offset and size of a text field. */
+#define AT(name) \
+	offsetof(struct pb_boot, name), sizeof(((struct pb_boot *)0)->name)
 
 /* A field without a default must be given. */
 static const struct field fields[] = {
-    TEXT(instance, NULL),
-    TEXT(fleet, "poplarbeam"),
-    TEXT(region, NULL),
-    TEXT(domain, NULL),
-    TEXT(caller, NULL),
-    TEXT(peer, NULL),
-    TEXT(rpc, NULL),
-    TEXT(admin, NULL),
-    TEXT(table, NULL),
-    TEXT(objects, NULL),
-    TEXT(instances, NULL),
-    TEXT(log_level, "info"),
-    THREADS(caller_threads, "256"),
-    THREADS(peer_threads, "256"),
+    {"instance", AT(instance), NULL},
+    {"fleet", AT(fleet), "poplarbeam"},
+    {"region", AT(region), NULL},
+    {"domain", AT(domain), NULL},
+    {"caller", AT(caller), NULL},
+    {"peer", AT(peer), NULL},
+    {"rpc", AT(rpc), NULL},
+    {"admin", AT(admin), NULL},
+    {"table", AT(table), NULL},
+    {"objects", AT(objects), NULL},
+    {"instances", AT(instances), NULL},
+    {"log_level", AT(log_level), "info"},
+    {"caller_threads", offsetof(struct pb_boot, caller_threads), 0, "256"},
+    {"peer_threads", offsetof(struct pb_boot, peer_threads), 0, "256"},
 };
 
 #define FIELD_COUNT (sizeof(fields) / sizeof(fields[0]))
--- a/source/settings/settings-snapshot.c
+++ b/source/settings/settings-snapshot.c
@@ -1,5 +1,6 @@
 #include "poplarbeam/settings.h"
 
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -89,7 +90,7 @@
 		if (!settings->accounts[i].key_by_sha)
 			return &settings->accounts[i];
 	}
-	pb_sha256(key.data, key.len, digest);
+	crypto_hash_sha256(digest, (const unsigned char *)key.data, key.len);
 	hash = pb_hash(digest, sizeof(digest), 0);
 	for (i = find_key_hash(settings, hash); i < settings->account_count &&
 	     settings->accounts[i].key_hash == hash;
--- a/source/settings/settings-team.c
+++ b/source/settings/settings-team.c
@@ -1,5 +1,6 @@
 #include "settings-private.h"
 
+#include <sodium.h>
 #include <ctype.h>
 #include <stddef.h>
 #include <stdlib.h>
@@ -246,7 +247,8 @@
 			return;
 		}
 		a->key_hash = pb_hash(key->text.data, key->text.len, 0);
-		pb_sha256(key->text.data, key->text.len, a->key_sha);
+		crypto_hash_sha256(a->key_sha,
+		    (const unsigned char *)key->text.data, key->text.len);
 		return;
 	}
 	if (!parse_digest(sha->text, a->key_sha)) {
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -172,23 +172,6 @@
 	pb_clear_report(&report);
 }
 
-/* Guards against a multi-block digest that differs from FIPS 180-4. */
-static void
-test_sha256(void)
-{
-	static const uint8_t want[4] = {0x24, 0x8d, 0x6a, 0x61};
-	static const uint8_t want_long[4] = {0xcd, 0xc7, 0x6e, 0x5c};
-	static char million[1000000];
-	uint8_t out[PB_SHA256_LEN];
-
-	pb_sha256("abcdbcdecdefdefgefghfghighijhijkijkljklmklmnlmnomnopnopq",
-	    56, out);
-	CU_ASSERT_EQUAL(memcmp(out, want, sizeof(want)), 0);
-	memset(million, 'a', sizeof(million));
-	pb_sha256(million, sizeof(million), out);
-	CU_ASSERT_EQUAL(memcmp(out, want_long, sizeof(want_long)), 0);
-}
-
 /* One faulty document and a part of the message that it must cause. */
 struct fault {
 	const char *fleet;
@@ -403,7 +386,6 @@
 	CU_add_test(s, "team values", test_team_values);
 	CU_add_test(s, "keys", test_keys);
 	CU_add_test(s, "paths", test_paths);
-	CU_add_test(s, "sha256", test_sha256);
 	CU_add_test(s, "faults", test_faults);
 	CU_add_test(s, "parse changes", test_parse_changes);
 	CU_add_test(s, "report bounds", test_report_bounds);
