Never say "not run" after an attempt that may have run

Cause: the verdict looked at the last attempt only. A GET whose application died in the middle was tried again, found no upstream, and the caller was told "not run" about a call that may have run. Besides, a resume that met a router which did not own the cell was given up instead of asking the named owner.

Change: the attempts remember whether one of them may have reached an upstream; then the end is "outcome unknown". A resume follows the owner like a first attempt. Ruled out: judging it in pb_judge_attempt, which sees one attempt at a time.

--- a/source/caller/caller-run.c
+++ b/source/caller/caller-run.c
@@ -16,6 +16,7 @@
 	struct caller_sink *sink;
 	struct entry_outcome *out;
 	struct pb_random rnd;
+	bool maybe_ran; /* an attempt reached an upstream, or may have */
 	int tries;
 	int moves;
 	int cells;
@@ -129,10 +130,11 @@
 	const struct pb_run_result *run = &a->out->run;
 	struct entry *e = a->entry;
 
-	if (run->kind != PB_RUN_NOT_RUN || e->req.resume_on[0] != '\0')
+	if (run->kind != PB_RUN_NOT_RUN)
 		return false;
 	if (run->reason == PB_REFUSED_QUEUE_FULL &&
-	    a->cells + 1 < CELLS_TRIED && a->cells + 1 < e->service->cells) {
+	    e->req.resume_on[0] == '\0' && a->cells + 1 < CELLS_TRIED &&
+	    a->cells + 1 < e->service->cells) {
 		e->req.cell = choose_cell(e, ++a->cells);
 		return true;
 	}
@@ -155,7 +157,7 @@
 {
 	const struct pb_run_result *run = &a->out->run;
 	struct entry *e = a->entry;
-	struct pb_attempt at = {.not_run = run->kind == PB_RUN_NOT_RUN,
+	struct pb_attempt at = {.not_run = !a->maybe_ran,
 	    .idempotent = e->req.idempotent,
 	    .delivered = a->sink->answer.begun,
 	    .contained = run->reason == PB_REFUSED_CONTAINED,
@@ -221,6 +223,8 @@
 	if (should_move(a))
 		return true;
 	a->tries++;
+	if (a->out->run.kind != PB_RUN_NOT_RUN)
+		a->maybe_ran = true;
 	at = describe(a);
 	switch (pb_judge_attempt(a->entry->server->node->retries, &at)) {
 	case PB_RETRY_AGAIN:
--- a/tests/scripts/once.sh
+++ b/tests/scripts/once.sh
@@ -62,6 +62,20 @@
 echo "repeat: $(order crash1 "crash 1" 2)" \
     "$(jq -r .error.type "$FLEET_DIR/order"), $(runs_of "crash 1") runs"
 
+# A call that may be repeated is tried again, but "not run" may not be said
+# after an attempt that may have run.
+(curl -s -m 30 -H "Authorization: Bearer $key" -o "$FLEET_DIR/get" \
+    -w '%{http_code}' "http://127.0.0.1:$(caller_port 1)/orders/1" \
+    >"$FLEET_DIR/code") &
+waiter=$!
+sleep 0.7
+stop a1 KILL
+wait $waiter
+echo "application killed while it runs a GET: $(cat "$FLEET_DIR/code")" \
+    "$(jq -r .error.type "$FLEET_DIR/get")"
+start_app 1 orders --delay-ms 1500
+await 20 ordered probe4
+
 # The entry router dies while the call runs.
 owner=$(owner_of orders)
 entry=$((owner % 3 + 1))
