Tell in the time line why an upstream was chosen

Cause: an operator who asks why a chat went to an engine saw the engine and the wait, not the reason.

Change: the placement keeps how it came to its last result; the start of a request in the time line says it: last location, first or second choice, least loaded, resumed. Ruled out: an out parameter of pb_choose_upstream, which all measurements would have to pass.

--- a/include/poplarbeam/cell.h
+++ b/include/poplarbeam/cell.h
@@ -66,6 +66,7 @@
 	enum pb_action_kind kind;
 	uint64_t id;
 	uint64_t upstream; /* for PB_ACTION_START */
+	enum pb_choice choice; /* for PB_ACTION_START */
 	enum pb_refusal reason;
 	int64_t retry_after_us;
 	int64_t waited_us;
--- a/include/poplarbeam/events.h
+++ b/include/poplarbeam/events.h
@@ -15,7 +15,7 @@
 	char request[36]; /* request id; empty when there is none */
 	char upstream[32]; /* instance id of the upstream or peer */
 	char step[20]; /* what happened: "received", "started", ... */
-	char detail[72]; /* why, in words and numbers */
+	char detail[96]; /* why, in words and numbers */
 };
 
 struct pb_events;
--- a/include/poplarbeam/placement.h
+++ b/include/poplarbeam/placement.h
@@ -79,6 +79,19 @@
  */
 int pb_choose_upstream(struct pb_context *ctx, struct pb_placement *pl,
     uint64_t chat, uint32_t work, double headroom, uint64_t avoid);
+/* Why an upstream was chosen, for the time line. */
+enum pb_choice {
+	PB_CHOICE_NONE,
+	PB_CHOICE_LOCATION, /* the chat ran there last */
+	PB_CHOICE_FIRST, /* first rendezvous choice */
+	PB_CHOICE_SECOND,
+	PB_CHOICE_LEAST_LOADED,
+	PB_CHOICE_RESUMED /* the stream runs there already */
+};
+
+const char *pb_choice_name(enum pb_choice choice);
+/* How pb_choose_upstream came to its last result. */
+enum pb_choice pb_last_choice(const struct pb_placement *pl);
 /*
  * True when one of the slots has the capacity for this work, and the cell has
  * it besides the headroom, whatever the load.
--- a/source/cell/cell-serve.c
+++ b/source/cell/cell-serve.c
@@ -105,6 +105,8 @@
 	struct pb_action action = {.kind = PB_ACTION_START,
 	    .id = rq->work.id,
 	    .upstream = pb_slot_upstream(cell->placement, slot),
+	    .choice = rq->work.resume_on != 0 ? PB_CHOICE_RESUMED
+					      : pb_last_choice(cell->placement),
 	    .waited_us = pb_now(ctx) - rq->since_us};
 
 	rq->upstream = action.upstream;
--- a/source/owner/owner-run.c
+++ b/source/owner/owner-run.c
@@ -307,9 +307,10 @@
 	pb_observe_wait(
 	    node->metrics, run->req->rank, run->ticket.action.waited_us);
 	pb_add_event(ctx, node->events, "started", run->req->id, run->req->chat,
-	    up->info.id, "%s/%d rank %d work %u waited %" PRId64 " ms",
+	    up->info.id, "%s/%d rank %d work %u waited %" PRId64 " ms, %s",
 	    run->req->service, run->req->cell, run->req->rank, run->req->work,
-	    run->ticket.action.waited_us / PB_MSEC);
+	    run->ticket.action.waited_us / PB_MSEC,
+	    pb_choice_name(run->ticket.action.choice));
 	pb_copy_str(result->upstream, sizeof(result->upstream), up->info.id);
 	init_run_sink(&sink, inner, run->req->resume_on[0] != '\0');
 	rc = call_upstream(ctx, run, up, &sink, &res);
--- a/source/placement/placement-choose.c
+++ b/source/placement/placement-choose.c
@@ -117,24 +117,46 @@
 	struct load_view v;
 	int choice[2], i, slot;
 
+	pl->last_choice = PB_CHOICE_NONE;
 	pb_read_loads(ctx, pl, &v);
 	if (v.total_capacity <= 0)
 		return -1;
 	if (chat != 0) {
 		slot = located_slot(pl, chat);
 		if (slot >= 0 &&
-		    is_eligible(pl, &v, slot, &d, pl->policy.inner_limit))
+		    is_eligible(pl, &v, slot, &d, pl->policy.inner_limit)) {
+			pl->last_choice = PB_CHOICE_LOCATION;
 			return slot;
+		}
 		rank_slots(pl, &v, chat, choice);
-		for (i = 0; i < 2; i++)
+		for (i = 0; i < 2; i++) {
 			if (choice[i] >= 0 &&
 			    is_eligible(
-				pl, &v, choice[i], &d, choice_limit(pl, i)))
+				pl, &v, choice[i], &d, choice_limit(pl, i))) {
+				pl->last_choice = PB_CHOICE_FIRST + i;
 				return choice[i];
+			}
+		}
 	}
+	pl->last_choice = PB_CHOICE_LEAST_LOADED;
 	return least_loaded(pl, &v, &d);
 }
 
+enum pb_choice
+pb_last_choice(const struct pb_placement *pl)
+{
+	return pl->last_choice;
+}
+
+const char *
+pb_choice_name(enum pb_choice choice)
+{
+	static const char *const names[] = {"none", "last location",
+	    "first choice", "second choice", "least loaded", "resumed"};
+
+	return names[choice];
+}
+
 bool
 pb_fits_capacity(const struct pb_placement *pl, uint32_t work, double headroom,
     uint64_t slots)
--- a/source/placement/placement-internal.h
+++ b/source/placement/placement-internal.h
@@ -43,6 +43,7 @@
 	struct pb_placement_policy policy;
 	int64_t cautious_us; /* end of cautious mode */
 	struct pb_lru *locations; /* chat -> upstream id */
+	enum pb_choice last_choice;
 	int count; /* slots in use or used before */
 	struct slot slots[PB_CELL_UPSTREAMS_MAX];
 };
