Apply every setting in force; count plain calls in one unit

Cause: a review of what the settings promise found values that never took effect: control.bandwidth, retry.burst and eject_share were read once at the start or not at all, and the headroom of accounts, which the measurement of small accounts relies on, had no setting. Each router read the whole instance list every second.

Change: settings in force are handed to the retry budget, the digest and the members; account_headroom is a setting (1.5%); one account may fill half of a queue; a plain service's report is turned into work units; the list is read with If-None-Match. A cell states its load, so that a limiter knows of the other cells even when no account there is heavy; before, it kept an equal part of every limit for them.

Conclusion: an accepted setting holds in all parts.

--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -18,6 +18,7 @@
 /* Result codes of functions that can fail; 0 is success. */
 enum pb_code {
 	PB_OK = 0,
+	PB_UNCHANGED = 1, /* nothing new since the last call */
 	PB_ENOMEM = -1,
 	PB_EINVAL = -2, /* malformed input */
 	PB_ENOENT = -3, /* no such object */
--- a/include/poplarbeam/digest.h
+++ b/include/poplarbeam/digest.h
@@ -57,6 +57,8 @@
 struct pb_digest *pb_new_digest(
     struct pb_context *ctx, const struct pb_digest_policy *policy);
 void pb_drop_digest(struct pb_context *ctx, struct pb_digest *digest);
+/* A new budget; takes effect at once. */
+void pb_set_digest_budget(struct pb_digest *digest, double bytes_per_sec);
 void pb_set_digest_peers(
     struct pb_context *ctx, struct pb_digest *digest, size_t peers);
 
--- a/include/poplarbeam/members.h
+++ b/include/poplarbeam/members.h
@@ -33,7 +33,7 @@
 	int64_t dead_us; /* suspicion without sign of life until it is down */
 	int64_t damp_min_us; /* first wait after a failure, 1 s */
 	int64_t damp_max_us; /* longest wait, 60 s */
-	double eject_share; /* largest share of a service in a region ejected */
+	double eject_share; /* of services without pb_set_eject_share */
 	int fail_threshold; /* consecutive failures until ejected */
 };
 
@@ -43,6 +43,10 @@
     struct pb_context *ctx, const struct pb_members_policy *policy);
 void pb_drop_members(struct pb_context *ctx, struct pb_members *members);
 
+/* Largest share of one service's upstreams in a region that is ejected. */
+void pb_set_eject_share(
+    struct pb_members *members, const char *service, double share);
+
 /*
  * The platform's list. An instance that is missing from it is removed after
  * 5 s, or after up to 60 s while there are signs of life.
--- a/include/poplarbeam/owner.h
+++ b/include/poplarbeam/owner.h
@@ -75,6 +75,7 @@
 	char id[48];
 	char address[48];
 	uint64_t incarnation;
+	uint32_t call_work; /* of one call of a plain service; 0: model */
 };
 
 /* Upstreams whose last report is older than age_us; returns how many. */
--- a/include/poplarbeam/platform.h
+++ b/include/poplarbeam/platform.h
@@ -95,7 +95,8 @@
 struct pb_instances_ops {
 	/*
 	 * Fetches the whole list; *out is a malloc'ed array that the caller
-	 * frees. PB_OK, PB_EUNAVAIL, PB_ETIMEDOUT, PB_EPROTO.
+	 * frees. PB_OK, PB_UNCHANGED (as at the last call, *out is NULL),
+	 * PB_EUNAVAIL, PB_ETIMEDOUT, PB_EPROTO. One thread at a time.
 	 */
 	int (*fetch)(struct pb_context *ctx, struct pb_instances *list,
 	    struct pb_instance **out, size_t *count);
--- a/include/poplarbeam/retry.h
+++ b/include/poplarbeam/retry.h
@@ -18,7 +18,8 @@
     struct pb_context *ctx, double share, double burst);
 void pb_drop_retry_budget(
     struct pb_context *ctx, struct pb_retry_budget *budget);
-void pb_set_retry_share(struct pb_retry_budget *budget, double share);
+void pb_set_retry_policy(
+    struct pb_retry_budget *budget, double share, double burst);
 void pb_note_first_attempt(struct pb_retry_budget *budget);
 /* Takes one retry from the budget; false when it is spent. */
 bool pb_take_retry(struct pb_retry_budget *budget);
--- a/include/poplarbeam/settings.h
+++ b/include/poplarbeam/settings.h
@@ -82,6 +82,7 @@
 	int64_t drain_us; /* deadline of a graceful stop */
 	int64_t claim_send_us;
 	int64_t claim_retention_us;
+	double account_headroom; /* share of a cell, 0..1 */
 	double control_bytes_per_sec;
 	int64_t digest_us;
 };
--- a/include/poplarbeam/upstream.h
+++ b/include/poplarbeam/upstream.h
@@ -80,6 +80,7 @@
 	int status;
 	struct pb_buf body;
 	char content_type[64];
+	char etag[48];
 };
 
 void pb_init_buffer_sink(struct pb_buffer_sink *sink, size_t limit);
--- a/source/base/base-context.c
+++ b/source/base/base-context.c
@@ -43,6 +43,8 @@
 	switch (code) {
 	case PB_OK:
 		return "ok";
+	case PB_UNCHANGED:
+		return "unchanged";
 	case PB_ENOMEM:
 		return "no_memory";
 	case PB_EINVAL:
--- a/source/digest/digest-store.c
+++ b/source/digest/digest-store.c
@@ -56,6 +56,12 @@
 	return NULL;
 }
 
+void
+pb_set_digest_budget(struct pb_digest *d, double bytes_per_sec)
+{
+	d->policy.bytes_per_sec = bytes_per_sec;
+}
+
 void
 pb_drop_digest(struct pb_context *ctx, struct pb_digest *d)
 {
--- a/source/members/members-health.c
+++ b/source/members/members-health.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* A peer renews its report while an instance stays down. */
 #define REPORT_US (15 * PB_SEC)
@@ -286,16 +287,55 @@
 	    r->pub.info.role == PB_ROLE_UPSTREAM;
 }
 
+static double
+share_of(const struct pb_members *m, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < m->share_count; i++) {
+		if (strcmp(m->shares[i].service, service) == 0)
+			return m->shares[i].share;
+	}
+	return m->policy.eject_share;
+}
+
+void
+pb_set_eject_share(struct pb_members *m, const char *service, double share)
+{
+	struct service_share *grown;
+	size_t i;
+
+	for (i = 0; i < m->share_count; i++) {
+		if (strcmp(m->shares[i].service, service) == 0)
+			break;
+	}
+	if (i == m->share_count) {
+		grown = realloc(m->shares, (i + 1) * sizeof(*grown));
+		if (grown == NULL)
+			return;
+		m->shares = grown;
+		m->share_count++;
+		pb_copy_str(
+		    grown[i].service, sizeof(grown[i].service), service);
+	}
+	m->shares[i].share = share;
+	m->dirty = true;
+}
+
 /* Upstreams of a group that may be ejected at the same time. */
 static size_t
 ejection_limit(const struct pb_members *m, uint64_t group)
 {
+	const char *service = "";
 	size_t total = 0, i;
 
-	for (i = 0; i < m->count; i++)
-		total += m->records[i]->group == group &&
-		    counts_in_share(m->records[i]);
-	return (size_t)(m->policy.eject_share * (double)total);
+	for (i = 0; i < m->count; i++) {
+		if (m->records[i]->group != group)
+			continue;
+		service = m->records[i]->pub.info.service;
+		total += counts_in_share(m->records[i]);
+	}
+	return (size_t)(share_of(m, service) * (double)total);
 }
 
 /* Ejects the most recently failed candidates of each group up to its share. */
--- a/source/members/members-list.c
+++ b/source/members/members-list.c
@@ -47,6 +47,7 @@
 	for (i = 0; i < m->count; i++)
 		free(m->records[i]);
 	free(m->records);
+	free(m->shares);
 	pb_drop_view(ctx, m->view);
 	free(m);
 }
--- a/source/members/members-record.h
+++ b/source/members/members-record.h
@@ -39,11 +39,19 @@
 	int report_count;
 };
 
+/* Ejection share that the settings give to one service. */
+struct service_share {
+	char service[48];
+	double share;
+};
+
 struct pb_members {
 	struct pb_members_policy policy;
 	char self[48];
 	char region[24];
 	uint64_t self_hash;
+	struct service_share *shares;
+	size_t share_count;
 	struct record **records; /* sorted by id_hash */
 	size_t count;
 	size_t cap;
--- a/source/node/node-state.c
+++ b/source/node/node-state.c
@@ -5,7 +5,7 @@
 
 #define EVENTS_CAP 16384
 #define IDLE_CONNECTIONS 64 /* kept open per peer */
-#define RETRY_BURST 20
+#define RETRY_BURST 10 /* before the settings say it */
 #define CLAIM_RUNNING (10 * 60 * PB_SEC) /* then a claim counts as unknown */
 
 struct pb_node *
--- a/source/owner/owner-cells.c
+++ b/source/owner/owner-cells.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define QUEUE_ACCOUNTS 2 /* one account may fill half of a queue */
 #define LOCATIONS 65536 /* chats remembered per cell */
 
 struct pb_owner *
@@ -76,12 +77,23 @@
 	memcpy(p.queue.rank, s->rank, sizeof(p.queue.rank));
 	p.queue.max_items = svc->queue_items;
 	p.queue.max_bytes = svc->queue_bytes;
+	p.queue.max_items_account = svc->queue_items / QUEUE_ACCOUNTS;
+	if (p.queue.max_items_account == 0)
+		p.queue.max_items_account = 1;
+	p.queue.account_headroom = s->account_headroom;
 	p.cells = svc->cells;
 	p.containment_us = s->containment_us;
 	p.strikes = s->strikes;
 	return p;
 }
 
+/* Plain services report calls; 0 for a model, which reports work units. */
+static uint32_t
+call_work_of(const struct pb_service *svc)
+{
+	return svc->kind == PB_SERVICE_PLAIN ? svc->call_work : 0;
+}
+
 static struct cell_entry *
 new_entry(struct pb_owner *owner, const struct pb_settings *settings,
     const struct pb_service *service, int number, uint64_t id)
@@ -96,6 +108,7 @@
 	pb_copy_str(e->service, sizeof(e->service), service->name);
 	pthread_mutex_init(&e->lock, NULL);
 	e->ctx = pb_node_context(owner->node);
+	e->call_work = call_work_of(service);
 	e->revision = settings->revision;
 	e->cell = pb_new_cell(&e->ctx, &policy, on_action, e);
 	if (e->cell == NULL) {
@@ -214,6 +227,7 @@
 
 		if (pb_set_cell_policy(&e->ctx, e->cell, &policy) == PB_OK)
 			e->revision = settings->revision;
+		e->call_work = call_work_of(svc);
 	}
 	o = pb_cell_owner(view, e->id, region, 0);
 	owned = o != NULL && o->id_hash == owner->node->id_hash;
@@ -322,6 +336,7 @@
 			continue;
 		p->cell = e->id;
 		p->incarnation = m->info.incarnation;
+		p->call_work = e->call_work;
 		pb_copy_str(p->id, sizeof(p->id), m->info.id);
 		pb_copy_str(p->address, sizeof(p->address), m->info.address);
 		e->reported_us[i] = a->now_us;
--- a/source/owner/owner-internal.h
+++ b/source/owner/owner-internal.h
@@ -27,6 +27,7 @@
 	pthread_mutex_t lock;
 	struct pb_context ctx; /* used under the lock */
 	struct pb_cell *cell;
+	uint32_t call_work; /* units of one call; 0: reports are in units */
 	uint64_t revision; /* of the policy in force */
 	uint64_t view_version;
 	struct ticket *tickets[TICKET_BUCKETS];
--- a/source/platform/platform-http.c
+++ b/source/platform/platform-http.c
@@ -66,14 +66,12 @@
 pb_call_platform(struct pb_context *ctx, struct pb_http_pool *pool,
     const struct pb_http_call *call, struct pb_http_reply *reply)
 {
-	struct pb_header type = {
-	    pb_str_from("Content-Type"), pb_str_from("application/json")};
+	struct pb_header headers[2];
 	struct pb_call http = {.peer = pool->peer,
 	    .address = pool->peer,
 	    .method = call->method,
 	    .target = call->path,
-	    .headers = &type,
-	    .header_count = call->body.data != NULL,
+	    .headers = headers,
 	    .body = call->body,
 	    .fresh = call->write,
 	    .connect_us = pool->timeout_us < CONNECT_MAX_US ? pool->timeout_us
@@ -85,6 +83,13 @@
 	int rc;
 
 	memset(reply, 0, sizeof(*reply));
+	if (call->body.data != NULL)
+		headers[http.header_count++] =
+		    (struct pb_header){pb_str_from("Content-Type"),
+			pb_str_from("application/json")};
+	if (call->etag != NULL && call->etag[0] != '\0')
+		headers[http.header_count++] = (struct pb_header){
+		    pb_str_from("If-None-Match"), pb_str_from(call->etag)};
 	pb_init_buffer_sink(&sink, call->max_body);
 	rc = pb_call_http(ctx, pool->client, &http, &sink.base, &res);
 	if (rc != PB_OK) {
@@ -95,6 +100,7 @@
 	}
 	reply->status = res.status;
 	reply->body = sink.body;
+	pb_copy_str(reply->etag, sizeof(reply->etag), sink.etag);
 	return PB_OK;
 }
 
@@ -106,6 +112,8 @@
 
 	if (reply->status >= 200 && reply->status < 300)
 		return PB_OK;
+	if (reply->status == 304 && call->etag != NULL)
+		return PB_UNCHANGED;
 	if (reply->status == 404)
 		code = PB_ENOENT;
 	else if (reply->status == 409)
--- a/source/platform/platform-http.h
+++ b/source/platform/platform-http.h
@@ -20,10 +20,12 @@
 	size_t max_body; /* bytes of the response; more is an error */
 	bool write; /* changes state: never sent twice by the client */
 	const char *step; /* for error reports */
+	const char *etag; /* of the copy at hand; NULL or empty: none */
 };
 
 struct pb_http_reply {
 	long status;
+	char etag[48];
 	struct pb_buf body; /* dropped by the caller */
 };
 
--- a/source/platform/platform-lists.c
+++ b/source/platform/platform-lists.c
@@ -12,6 +12,7 @@
 struct http_instances {
 	struct pb_instances base;
 	struct pb_http_pool *pool;
+	char etag[48]; /* of the list fetched last */
 };
 
 struct http_objects {
@@ -104,7 +105,7 @@
 {
 	struct http_instances *l = (struct http_instances *)list;
 	struct pb_http_call call = {"GET", "/instances/v1", PB_STR_NONE,
-	    INSTANCES_MAX, false, "instances"};
+	    INSTANCES_MAX, false, "instances", l->etag};
 	struct pb_http_reply reply = {0};
 	json_t *root = NULL, *items;
 	int rc;
@@ -122,6 +123,8 @@
 	else
 		rc = pb_set_error(ctx, PB_EPROTO, call.step,
 		    pb_http_peer(l->pool), "%s: no instances", call.path);
+	if (rc == PB_OK)
+		pb_copy_str(l->etag, sizeof(l->etag), reply.etag);
 out:
 	json_decref(root);
 	pb_clear_buf(&reply.body);
@@ -182,7 +185,7 @@
     struct pb_buf *out)
 {
 	struct pb_http_call call = {
-	    "GET", NULL, PB_STR_NONE, OBJECT_MAX, false, "object-get"};
+	    "GET", NULL, PB_STR_NONE, OBJECT_MAX, false, "object-get", NULL};
 	struct pb_http_reply reply = {0};
 	int rc = call_object(ctx, objects, &call, key, &reply);
 
@@ -197,7 +200,7 @@
     struct pb_str value)
 {
 	struct pb_http_call call = {
-	    "PUT", NULL, value, PUT_REPLY_MAX, true, "object-put"};
+	    "PUT", NULL, value, PUT_REPLY_MAX, true, "object-put", NULL};
 	struct pb_http_reply reply = {0};
 	int rc;
 
--- a/source/platform/platform-table.c
+++ b/source/platform/platform-table.c
@@ -53,7 +53,7 @@
 	struct http_table *t = (struct http_table *)table;
 	struct pb_buf path = {0};
 	struct pb_http_call call = {
-	    "GET", NULL, PB_STR_NONE, ROW_MAX, false, "table-get"};
+	    "GET", NULL, PB_STR_NONE, ROW_MAX, false, "table-get", NULL};
 	struct pb_http_reply reply = {0};
 	json_t *root = NULL;
 	int rc;
@@ -127,7 +127,7 @@
 {
 	struct http_table *t = (struct http_table *)table;
 	struct pb_http_call call = {"POST", "/table/v1/commit", PB_STR_NONE,
-	    COMMIT_MAX, true, "table-commit"};
+	    COMMIT_MAX, true, "table-commit", NULL};
 	struct pb_http_reply reply = {0};
 	char *text = build_commit(commit);
 	int rc;
@@ -155,7 +155,7 @@
 	struct http_table *t = (struct http_table *)table;
 	struct pb_buf path = {0};
 	struct pb_http_call call = {
-	    "GET", NULL, PB_STR_NONE, LIST_MAX, false, "table-list"};
+	    "GET", NULL, PB_STR_NONE, LIST_MAX, false, "table-list", NULL};
 	struct pb_http_reply reply = {0};
 	json_t *root = NULL, *rows, *item;
 	size_t i;
--- a/source/retry/retry-budget.c
+++ b/source/retry/retry-budget.c
@@ -36,10 +36,13 @@
 }
 
 void
-pb_set_retry_share(struct pb_retry_budget *budget, double share)
+pb_set_retry_policy(struct pb_retry_budget *budget, double share, double burst)
 {
 	pthread_mutex_lock(&budget->lock);
 	budget->share = share;
+	budget->burst = burst;
+	if (budget->tokens > burst)
+		budget->tokens = burst;
 	pthread_mutex_unlock(&budget->lock);
 }
 
--- a/source/router/router-facts.c
+++ b/source/router/router-facts.c
@@ -13,8 +13,11 @@
 #define REVISION_TTL (60 * PB_SEC)
 #define LEAVING_TTL (120 * PB_SEC)
 #define ACCOUNT_TTL (60 * PB_SEC)
+#define LOAD_TTL (20 * PB_SEC)
 #define HEAVY_ACCOUNTS 8 /* stated per cell */
 #define CONTAINED_MAX 32 /* stated per cell */
+#define LOAD_STEPS 10
+#define CELLS_KNOWN 64 /* cells of one service in a region */
 #define FACTS_READ 1024 /* account facts read in one round */
 
 /* Value of PB_FACT_ROUTER and PB_FACT_LEAVING, in network byte order. */
@@ -23,6 +26,13 @@
 	uint8_t leaving;
 };
 
+/* Value of PB_FACT_CELL_LOAD; between routers of one byte order only. */
+struct load_value {
+	uint64_t service;
+	float load; /* work units in flight */
+	float capacity; /* work units */
+};
+
 /* Value of PB_FACT_ACCOUNT; between routers of one byte order only. */
 struct account_value {
 	uint64_t cell;
@@ -170,6 +180,24 @@
 		pb_drop_settings(ctx, settings);
 }
 
+/*
+ * States a cell's load in steps, because each change of the value is sent to
+ * all routers again.
+ */
+static void
+state_load(struct pb_context *ctx, struct pb_router *r,
+    const struct pb_cell_summary *s, uint64_t service)
+{
+	const struct pb_placement_stats *p = &s->stats.placement;
+	double step = p->capacity / LOAD_STEPS;
+	struct load_value v = {
+	    .service = service, .capacity = (float)p->capacity};
+
+	if (step > 0)
+		v.load = (float)(step * (double)(int)(p->load / step + 0.5));
+	state(ctx, r, PB_FACT_CELL_LOAD, s->id, &v, sizeof(v), LOAD_TTL);
+}
+
 static void
 state_owned(struct pb_context *ctx, struct pb_router *r,
     const struct pb_cell_summary *s, bool shared)
@@ -180,6 +208,8 @@
 
 	if (pb_with_cell(ctx, r->owner, s->id, read_cell, &f))
 		state_cell(ctx, r, s->id, &f);
+	if (shared)
+		state_load(ctx, r, s, f.service);
 }
 
 void
@@ -269,8 +299,23 @@
 	uint64_t self;
 	struct account_value *values;
 	size_t count;
+	uint64_t cells[CELLS_KNOWN]; /* other cells that stated their load */
+	size_t cell_count;
 };
 
+static void
+collect_cell(void *arg, const struct pb_fact *fact)
+{
+	struct demand_list *list = arg;
+	struct load_value v;
+
+	if (fact->len != sizeof(v) || list->cell_count >= CELLS_KNOWN)
+		return;
+	memcpy(&v, fact->value, sizeof(v));
+	if (v.service == list->service && fact->subject != list->self)
+		list->cells[list->cell_count++] = fact->subject;
+}
+
 static void
 collect_demand(void *arg, const struct pb_fact *fact)
 {
@@ -284,28 +329,31 @@
 		list->values[list->count++] = v;
 }
 
+/* The demand that one other cell stated; none is stated when it is small. */
+static size_t
+pick_demand(const struct demand_list *list, uint64_t cell,
+    struct pb_account_demand *out)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < list->count && n < HEAVY_ACCOUNTS; i++) {
+		if (list->values[i].cell == cell)
+			out[n++] = list->values[i].demand;
+	}
+	return n;
+}
+
 static void
 note_cell_demand(struct pb_context *ctx, struct pb_cell *cell, void *arg)
 {
 	struct demand_list *list = arg;
 	struct pb_account_demand d[HEAVY_ACCOUNTS];
-	size_t i, j, n;
-
-	for (i = 0; i < list->count; i++) {
-		uint64_t other = list->values[i].cell;
-
-		if (other == 0)
-			continue;
-		for (n = 0, j = i; j < list->count; j++) {
-			struct account_value *v = &list->values[j];
-
-			if (v->cell != other)
-				continue;
-			v->cell = 0; /* done */
-			if (n < HEAVY_ACCOUNTS)
-				d[n++] = v->demand;
-		}
-		pb_note_demand(ctx, pb_cell_limiter(cell), other, d, n);
+	size_t i, n;
+
+	for (i = 0; i < list->cell_count; i++) {
+		n = pick_demand(list, list->cells[i], d);
+		pb_note_demand(
+		    ctx, pb_cell_limiter(cell), list->cells[i], d, n);
 	}
 }
 
@@ -322,6 +370,7 @@
 	if (list.values == NULL)
 		return;
 	pthread_mutex_lock(&r->digest_lock);
+	pb_each_fact(ctx, r->digest, PB_FACT_CELL_LOAD, collect_cell, &list);
 	pb_each_fact(ctx, r->digest, PB_FACT_ACCOUNT, collect_demand, &list);
 	pthread_mutex_unlock(&r->digest_lock);
 	pb_with_cell(ctx, r->owner, s->id, note_cell_demand, &list);
--- a/source/router/router-members.c
+++ b/source/router/router-members.c
@@ -69,7 +69,7 @@
 	int rc = port->ops->fetch(ctx, port, &list, &count);
 
 	if (rc != PB_OK)
-		return rc;
+		return rc == PB_UNCHANGED ? PB_OK : rc;
 	pthread_mutex_lock(&r->members_lock);
 	rc = pb_apply_instance_list(ctx, r->members, list, count);
 	pthread_mutex_unlock(&r->members_lock);
@@ -134,6 +134,9 @@
 		json_decref(v);
 		return;
 	}
+	if (probe->call_work > 0)
+		work = json_integer_value(json_object_get(v, "running")) *
+		    probe->call_work;
 	pb_note_probe(
 	    ctx, r->owner, probe, work > 0 ? (uint64_t)work : 0, age * PB_MSEC);
 	pthread_mutex_lock(&r->members_lock);
--- a/source/router/router-settings.c
+++ b/source/router/router-settings.c
@@ -23,6 +23,25 @@
 	return PB_OK;
 }
 
+/* Hands the settings in force to the parts that keep a copy of some. */
+static void
+apply_elsewhere(struct pb_context *ctx, struct pb_router *r)
+{
+	struct pb_settings *s = pb_node_settings(r->node);
+	int i;
+
+	pb_set_retry_policy(r->node->retries, s->retry_share, s->retry_burst);
+	pthread_mutex_lock(&r->digest_lock);
+	pb_set_digest_budget(r->digest, s->control_bytes_per_sec);
+	pthread_mutex_unlock(&r->digest_lock);
+	pthread_mutex_lock(&r->members_lock);
+	for (i = 0; i < s->service_count; i++)
+		pb_set_eject_share(r->members, s->services[i].name,
+		    s->services[i].eject_share);
+	pthread_mutex_unlock(&r->members_lock);
+	pb_drop_settings(ctx, s);
+}
+
 /* Puts a checked tree in force when the gate allows it. */
 static void
 put_in_force(struct pb_context *ctx, struct pb_router *r,
@@ -45,7 +64,6 @@
 		pb_clear_buf(&r->tree);
 		r->tree = text;
 		r->tree_revision = settings->revision;
-		pb_set_retry_share(r->node->retries, settings->retry_share);
 		/* Under the lock, so that revisions come into force in order.
 		 */
 		pb_set_node_settings(ctx, r->node, settings);
@@ -56,6 +74,7 @@
 		pb_drop_settings(ctx, settings);
 		return;
 	}
+	apply_elsewhere(ctx, r);
 	pb_count(r->node->metrics, PB_COUNT_SETTINGS_APPLIED, 1);
 	pb_add_event(ctx, r->node->events, "settings", NULL, 0, NULL,
 	    "revision %" PRIu64 " in force, from %s", tree->revision,
--- a/source/settings/settings-fleet.c
+++ b/source/settings/settings-fleet.c
@@ -30,6 +30,7 @@
 	s->drain_us = 600 * PB_SEC;
 	s->claim_send_us = 5 * PB_SEC;
 	s->claim_retention_us = 24 * 3600 * PB_SEC;
+	s->account_headroom = 0.015;
 	s->control_bytes_per_sec = 2000;
 	s->digest_us = 500 * PB_MSEC;
 
@@ -242,6 +243,7 @@
 	    {"containment", PB_FIELD_NODE, 0, 0, 0},
 	    {"claim", PB_FIELD_NODE, 0, 0, 0},
 	    {"control", PB_FIELD_NODE, 0, 0, 0},
+	    {"account_headroom", PB_FIELD_SHARE, IN(account_headroom), 0, 0.5},
 	    {"takeover_window", PB_FIELD_DURATION, IN(takeover_us), 1e5, 60e6},
 	    {"settings_poll", PB_FIELD_DURATION, IN(poll_us), 1e5, 3e6},
 	    {"freshness_limit", PB_FIELD_DURATION, IN(freshness_us), 1e6,
--- a/source/upstream/upstream-sink.c
+++ b/source/upstream/upstream-sink.c
@@ -22,10 +22,13 @@
 {
 	struct pb_buffer_sink *b = (struct pb_buffer_sink *)sink;
 	struct pb_str type = pb_find_header(headers, count, "Content-Type");
+	struct pb_str etag = pb_find_header(headers, count, "ETag");
 
 	b->status = status;
 	if (type.len > 0 && type.len < sizeof(b->content_type))
 		memcpy(b->content_type, type.data, type.len);
+	if (etag.len > 0 && etag.len < sizeof(b->etag))
+		memcpy(b->etag, etag.data, etag.len);
 	return 0;
 }
 
--- a/standin/lib/platform-control.c
+++ b/standin/lib/platform-control.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "poplarbeam/base.h"
+
 static const char *const surface_names[PLATFORM_SURFACES] = {
     "table", "objects", "instances"};
 
@@ -88,6 +90,34 @@
 	return platform_send_error(conn, 404, "no such control");
 }
 
+/* Answers 304 when the client's copy is the same. */
+static int
+send_versioned(struct mg_connection *conn, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
+	const char *known = mg_get_header(conn, "If-None-Match");
+	char etag[24];
+
+	json_decref(body);
+	if (text == NULL)
+		return platform_send_error(conn, 500, "out of memory");
+	snprintf(etag, sizeof(etag), "\"%016llx\"",
+	    (unsigned long long)pb_hash_cstr(text, 0));
+	if (known != NULL && strcmp(known, etag) == 0) {
+		mg_printf(conn, "HTTP/1.1 304 Not Modified\r\nETag: %s\r\n\r\n",
+		    etag);
+		free(text);
+		return 304;
+	}
+	mg_printf(conn,
+	    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	    "ETag: %s\r\nContent-Length: %zu\r\n\r\n",
+	    etag, strlen(text));
+	mg_write(conn, text, strlen(text));
+	free(text);
+	return 200;
+}
+
 static int
 get_instances(struct mg_connection *conn, struct platform_server *server)
 {
@@ -105,7 +135,7 @@
 	platform_delay(server, PLATFORM_INSTANCES);
 	if (status != 0)
 		return platform_send_error(conn, status, "refused");
-	return platform_send_json(conn, 200, list);
+	return send_versioned(conn, list);
 }
 
 static int
