Test settings under failure with five routers

No scripted run covered invariant H7 with real processes: changes in force within 3 s, conflicts, a lost answer of the commit, a frozen router, a restart without the table service, and a router that is cut off from both the table service and its peers.

Router 4 reaches the platform, and all routers reach each other's ONC RPC ports, through pb-proxy, for which scripts/fleet.sh now has address functions that a script can redefine. fleet-lib.sh moves to tests/lib, because scripts/check runs every file in tests/scripts as a test.

A router that starts while the instance list is refused as well does not become ready, because it knows no peer to fetch from; the run refuses only the table service.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -29,6 +29,12 @@
 rpc_port() { echo $((FLEET_PORT + 102 + 10 * $1)); }
 admin_port() { echo $((FLEET_PORT + 103 + 10 * $1)); }
 
+# Addresses that scripts redefine to put a proxy in between: how router N finds
+# the platform, and how other routers find router N.
+platform_address() { echo "$platform_url"; }
+peer_address() { echo "127.0.0.1:$(peer_port "$1")"; }
+rpc_address() { echo "127.0.0.1:$(rpc_port "$1")"; }
+
 pid_of() { cat "$FLEET_DIR/$1.pid" 2>/dev/null; }
 
 # launch NAME COMMAND...: starts a process in the background and keeps its id.
@@ -114,9 +120,9 @@
 peer: 127.0.0.1:$(peer_port "$1")
 rpc: 127.0.0.1:$(rpc_port "$1")
 admin: 127.0.0.1:$(admin_port "$1")
-table: $platform_url
-objects: $platform_url
-instances: $platform_url
+table: $(platform_address "$1")
+objects: $(platform_address "$1")
+instances: $(platform_address "$1")
 caller_threads: ${FLEET_THREADS:-64}
 peer_threads: ${FLEET_THREADS:-64}
 END
@@ -127,10 +133,10 @@
 	    '{"id":"r%s","role":"router","region":"%s","domain":"%s",' \
 	    "$1" "$FLEET_REGION" \
 	    "$(echo "a b c" | cut -d' ' -f$((($1 - 1) % 3 + 1)))"
-	printf '"address":"127.0.0.1:%s","peer":"127.0.0.1:%s",' \
-	    "$(caller_port "$1")" "$(peer_port "$1")"
-	printf '"rpc":"127.0.0.1:%s","admin":"127.0.0.1:%s",' \
-	    "$(rpc_port "$1")" "$(admin_port "$1")"
+	printf '"address":"127.0.0.1:%s","peer":"%s",' \
+	    "$(caller_port "$1")" "$(peer_address "$1")"
+	printf '"rpc":"%s","admin":"127.0.0.1:%s",' \
+	    "$(rpc_address "$1")" "$(admin_port "$1")"
 	printf '"state":"live","incarnation":%s}' "$(date +%s%N | cut -c1-16)")"
 }
 
--- a/tests/scripts/fleet-lib.sh
+++ b/tests/lib/fleet-lib.sh
@@ -18,7 +18,7 @@
 	    --prefill 1000000000 --listen "127.0.0.1:$(engine_port 49)"
 	for n in $(seq "$3"); do start_app "$n" orders; done
 	for n in $(seq "$1"); do start_router "$n"; done
-	apply_settings fleet examples/demo/fleet.yaml >/dev/null
+	apply_settings fleet "${FLEET_FILE:-examples/demo/fleet.yaml}" >/dev/null
 	apply_settings shop "${TEAM_FILE:-examples/demo/shop.yaml}" >/dev/null
 	for n in $(seq "$1"); do
 		await 15 router_ready "$n"
@@ -26,6 +26,32 @@
 	done
 }
 
+# begin_report, end_report NAME: lines printed in between are compared with
+# tests/scripts/NAME.expected; a difference is printed with the ends of the logs.
+begin_report() { exec 3>&1 >"$FLEET_DIR/report"; }
+
+end_report() {
+	diff "$FLEET_DIR/report" "tests/scripts/$1.expected" >&3 && return
+	cat "$FLEET_DIR/notes" >&3 2>/dev/null
+	tail -n 5 "$FLEET_DIR"/r*.log >&3
+	exit 1
+}
+
+# note WORD...: kept for a failing run; may differ from run to run.
+note() { echo "note: $*" >>"$FLEET_DIR/notes"; }
+
+now_ms() { date +%s%3N; }
+
+# within MIN MAX VALUE UNIT: prints "in time", or the value that is not.
+within() {
+	note "$3 $4, expected $1 to $2"
+	if [ "$3" -ge "$1" ] && [ "$3" -le "$2" ]; then
+		echo "in time"
+	else
+		echo "$3 $4 instead of $1 to $2"
+	fi
+}
+
 # chat_body I WORDS: a streamed request whose answer is a function of I.
 chat_body() {
 	printf '{"model":"layout","stream":true,"max_tokens":%s,' "$2"
@@ -92,6 +118,42 @@
 	echo "$whole whole, $refused not run, $failed failed, $wrong wrong"
 }
 
+# status N FILTER: a part of the status of router N.
+status() {
+	curl -sf -m 2 "http://127.0.0.1:$(admin_port "$1")/admin/v1/status" |
+	    jq -r "$2"
+}
+
+# ask ROUTER KEY: outcome of a short chat with a client account's key: the
+# status and, for a refusal, its type.
+ask() {
+	local code
+	code=$(curl -s -m 10 -H "Authorization: Bearer $2" -H "Expect:" \
+	    -d '{"model":"layout","max_tokens":1,"messages":[{"role":"user","content":"x"}]}' \
+	    -o "$FLEET_DIR/ask" -w '%{http_code}' \
+	    "http://127.0.0.1:$(caller_port "$1")/v1/chat/completions")
+	[ "$code" = 200 ] || code="$code $(jq -r .error.type "$FLEET_DIR/ask")"
+	echo "$code"
+}
+
+asks() { [ "$(ask "$1" "$2")" = "$3" ]; }
+
+# start_proxy OPTION...: the proxy that injects faults into links.
+start_proxy() {
+	launch proxy "$FLEET_BIN/pb-proxy" --control "$((FLEET_PORT + 1))" "$@"
+	await 10 answers "http://127.0.0.1:$((FLEET_PORT + 1))/control/stats"
+}
+
+# link MODE NAME...: passes or cuts links of the proxy.
+link() {
+	local mode=$1
+	shift
+	for name in "$@"; do
+		curl -sf -m 5 -o /dev/null -d "{\"mode\":\"$mode\"}" \
+		    "http://127.0.0.1:$((FLEET_PORT + 1))/control/link/$name"
+	done
+}
+
 # owner_of SERVICE: number of the router that owns the service's cell 0.
 owner_of() {
 	local n
--- a/tests/scripts/answers.sh
+++ b/tests/scripts/answers.sh
@@ -2,7 +2,7 @@
 # another caller's answer, and a stream cut by the loss of a router, by a
 # planned stop or by an engine that leaves.
 cd "$(dirname "$0")/../.." || exit 2
-. tests/scripts/fleet-lib.sh
+. tests/lib/fleet-lib.sh
 exec 3>&1 >"$FLEET_DIR/report"
 
 start_demo_fleet 3 3 1
--- a/tests/scripts/once.sh
+++ b/tests/scripts/once.sh
@@ -3,7 +3,7 @@
 # application or a router dies in the middle, or the owner is frozen.
 cd "$(dirname "$0")/../.." || exit 2
 TEAM_FILE=tests/scripts/team.yaml
-. tests/scripts/fleet-lib.sh
+. tests/lib/fleet-lib.sh
 exec 3>&1 >"$FLEET_DIR/report"
 
 start_demo_fleet 3 1 0
