Name the owner of a cell in the status of every router

Cause: the status said only whether this router owns a cell, so the operators' tool had no owner to show.

Change: "owner" is the router's id by the current view, "owned" the old flag.

Conclusion: poplarbeam status shows who owns what.

--- a/source/router/router-admin.c
+++ b/source/router/router-admin.c
@@ -63,8 +63,19 @@
 		"throttle", m->throttle));
 }
 
+/* Id of the router that owns a cell by the current view. */
+static const char *
+owner_name(struct call *c, const struct pb_view *view, uint64_t cell)
+{
+	const struct pb_member *o = view != NULL
+	    ? pb_cell_owner(view, cell, c->router->node->boot.region, 0)
+	    : NULL;
+
+	return o != NULL ? o->info.id : "";
+}
+
 static json_t *
-describe_cells(struct call *c)
+describe_cells(struct call *c, const struct pb_view *view)
 {
 	struct pb_cell_summary *cells = calloc(CELLS_LISTED, sizeof(*cells));
 	json_t *list = json_array();
@@ -77,10 +88,11 @@
 		struct pb_cell_summary *s = &cells[i];
 
 		json_array_append_new(list,
-		    json_pack("{s:s,s:i,s:b,s:i,s:i,s:I,s:I,s:f,s:f,s:I}",
+		    json_pack("{s:s,s:i,s:s,s:b,s:i,s:i,s:I,s:I,s:f,s:f,s:I}",
 			"service", s->service, "cell", s->number, "owner",
-			(int)s->owned, "in_flight", (int)s->stats.in_flight,
-			"queued", (int)s->stats.queue.items, "started",
+			owner_name(c, view, s->id), "owned", (int)s->owned,
+			"in_flight", (int)s->stats.in_flight, "queued",
+			(int)s->stats.queue.items, "started",
 			(json_int_t)s->stats.started, "refused",
 			(json_int_t)s->stats.refused, "load",
 			s->stats.placement.load, "max_over_mean",
@@ -126,7 +138,7 @@
 	    (int)is_ready(node), "leaving", atomic_load(&node->leaving),
 	    "revision_confirmed_ms",
 	    (json_int_t)(age >= 0 ? age / PB_MSEC : -1), "routers", routers,
-	    "upstreams", upstreams, "cells", describe_cells(c));
+	    "upstreams", upstreams, "cells", describe_cells(c, view));
 	if (s != NULL)
 		pb_drop_settings(c->ctx, s);
 	if (view != NULL)
--- a/tests/lib/fleet-lib.sh
+++ b/tests/lib/fleet-lib.sh
@@ -161,7 +161,7 @@
 		gone "r$n" && continue
 		curl -sf -m 2 "http://127.0.0.1:$(admin_port "$n")/admin/v1/status" |
 		    jq -e --arg s "$1" \
-		    '.cells[]|select(.service==$s and .owner)' >/dev/null && {
+		    '.cells[]|select(.service==$s and .owned)' >/dev/null && {
 			echo "$n"
 			return
 		}
