Keep probes and polls inside the budget for control traffic

Cause: the owner of 12 engines sent a probe to each every 2 s, about 1.3 KB/s, besides digests that took up to 2 KB/s by themselves, and every router polled the platform twice a second at any size of the fleet.

Ruled out: a longer fixed interval, which would slow down small fleets for nothing.

Figures: not yet measured on the wire; settings.sh (5 routers, in force within 3 s) passes.

Conclusion: to be measured at 9 routers and 12 engines.

--- a/source/router/router-claims.c
+++ b/source/router/router-claims.c
@@ -23,20 +23,6 @@
 	return left;
 }
 
-static int
-count_routers(struct pb_context *ctx, struct pb_router *r)
-{
-	struct pb_view *view = pb_node_view(r->node);
-	int n = 0;
-	size_t i;
-
-	for (i = 0; view != NULL && i < view->count; i++)
-		n += view->members[i].info.role == PB_ROLE_ROUTER;
-	if (view != NULL)
-		pb_drop_view(ctx, view);
-	return n > 0 ? n : 1;
-}
-
 static void
 expire_claims(struct pb_context *ctx, struct pb_router *r, char *cursor)
 {
@@ -63,7 +49,7 @@
 	while (router_sleep(r, REPAIR_INTERVAL)) {
 		router_repair_claims(&ctx, r);
 		/* The whole fleet makes one call every EXPIRE_EVERY seconds. */
-		if (++round >= EXPIRE_EVERY * count_routers(&ctx, r)) {
+		if (++round >= EXPIRE_EVERY * router_count_routers(&ctx, r)) {
 			round = 0;
 			expire_claims(&ctx, r, cursor);
 		}
--- a/source/router/router-internal.h
+++ b/source/router/router-internal.h
@@ -59,6 +59,29 @@
 /* Sleeps up to us; false once the router stops. */
 bool router_sleep(struct pb_router *r, int64_t us);
 
+/*
+ * Bytes of one probe and of one poll of the platform when nothing is new, with
+ * the headers of IP and TCP. Estimates: a request has about 100 bytes, an
+ * answer 150 to 250, and each side sends two segments of 52 bytes of headers.
+ */
+#define PROBE_SENT 210
+#define PROBE_RECEIVED 350
+#define POLL_SENT 230
+#define POLL_RECEIVED 280
+
+int router_count_routers(struct pb_context *ctx, struct pb_router *r);
+/*
+ * Interval of a poll of the platform: the more routers poll, the less often
+ * each needs to, because digests spread what one of them finds.
+ */
+int64_t router_scale_interval(
+    struct pb_context *ctx, struct pb_router *r, int64_t base_us);
+/* Counts control traffic besides digests and takes it from their budget. */
+void router_spend(
+    struct pb_context *ctx, struct pb_router *r, size_t sent, size_t received);
+/* Age at which a load report is renewed, so that probes keep to their share. */
+int64_t router_probe_age(struct pb_context *ctx, struct pb_router *r);
+
 /* Instances: the platform's list, evidence, the published view. */
 int router_init_members(struct pb_context *ctx, struct pb_router *r);
 int router_fetch_list(struct pb_context *ctx, struct pb_router *r);
--- a/source/router/router-members.c
+++ b/source/router/router-members.c
@@ -8,10 +8,8 @@
 #define TIMER_INTERVAL (20 * PB_MSEC)
 #define VIEW_EVERY 5 /* timer rounds between looks at the members */
 #define PROBE_INTERVAL (250 * PB_MSEC)
-#define PROBE_AGE (2 * PB_SEC) /* a load report older than this is renewed */
 #define PROBE_LIMIT (300 * PB_MSEC) /* for one probe */
 #define PROBE_BATCH 32 /* probes per round */
-#define PROBE_BYTES 420 /* request, answer and headers of a probe */
 
 static void
 note_evidence(struct pb_context *ctx, void *arg, uint64_t id_hash,
@@ -90,7 +88,9 @@
 		if (rc != PB_OK && !failing)
 			pb_log_error(&ctx, PB_WARN, NULL);
 		failing = rc != PB_OK;
-	} while (router_sleep(r, LIST_INTERVAL));
+		router_spend(&ctx, r, POLL_SENT, POLL_RECEIVED);
+	} while (
+	    router_sleep(r, router_scale_interval(&ctx, r, LIST_INTERVAL)));
 	return NULL;
 }
 
@@ -166,7 +166,7 @@
 	pb_init_buffer_sink(&sink, 4096);
 	rc = pb_call_http(ctx, r->node->client, &call, &sink.base, &res);
 	pb_count(r->node->metrics, PB_COUNT_PROBES, 1);
-	pb_count(r->node->metrics, PB_COUNT_CONTROL_SENT, PROBE_BYTES);
+	router_spend(ctx, r, PROBE_SENT, PROBE_RECEIVED);
 	if (rc == PB_OK && res.status == 200)
 		read_report(ctx, r, probe, &sink.body);
 	else if (rc != PB_OK)
@@ -185,8 +185,8 @@
 	size_t i, n;
 
 	while (router_sleep(r, PROBE_INTERVAL)) {
-		n = pb_list_probes(
-		    &ctx, r->owner, PROBE_AGE, probes, PROBE_BATCH);
+		n = pb_list_probes(&ctx, r->owner, router_probe_age(&ctx, r),
+		    probes, PROBE_BATCH);
 		for (i = 0; i < n && !atomic_load(&r->stopping); i++)
 			probe_upstream(&ctx, r, &probes[i]);
 	}
--- a/source/router/router-settings.c
+++ b/source/router/router-settings.c
@@ -176,6 +176,7 @@
 	int64_t us = s != NULL ? s->poll_us : POLL_DEFAULT;
 	struct timespec until;
 
+	us = router_scale_interval(&ctx, r, us);
 	if (s != NULL)
 		pb_drop_settings(&ctx, s);
 	clock_gettime(CLOCK_REALTIME, &until);
@@ -197,6 +198,7 @@
 
 	while (!atomic_load(&r->stopping)) {
 		router_poll_settings(&ctx, r);
+		router_spend(&ctx, r, POLL_SENT, POLL_RECEIVED);
 		wait_for_poll(r);
 	}
 	return NULL;
