Mark answers to HEAD as without a body

Cause: an answer to HEAD got chunked framing with a final chunk, which the caller would read as part of the next answer.

Change: struct pb_answer has head_only, which keeps the headers and writes no body.

--- a/include/poplarbeam/server.h
+++ b/include/poplarbeam/server.h
@@ -32,6 +32,7 @@
 /* An answer being written; zeroed at first. */
 struct pb_answer {
 	struct mg_connection *conn;
+	bool head_only; /* answers HEAD: no body, whatever the length */
 	bool begun;
 	bool chunked;
 	bool broken; /* the peer went away */
--- a/source/server/server-http.c
+++ b/source/server/server-http.c
@@ -97,12 +97,14 @@
 {
 	struct pb_str length = pb_find_header(headers, count, "Content-Length");
 	struct pb_buf head = {0};
-	bool empty = status == 204 || status == 304;
+	bool empty = status == 204 || status == 304 || a->head_only;
 	size_t i;
 
 	a->begun = true;
 	a->chunked = length.data == NULL && !empty;
-	a->left = length.data != NULL ? strtoull(length.data, NULL, 10) : 0;
+	a->left = length.data != NULL && !empty ?
+	    strtoull(length.data, NULL, 10) :
+	    0;
 	pb_append_fmt(&head, "HTTP/1.1 %d %s\r\n", status,
 	    mg_get_response_code_text(a->conn, status));
 	for (i = 0; i < count; i++) {
