--- a/include/poplarbeam/upstream.h
+++ b/include/poplarbeam/upstream.h
@@ -14,6 +14,15 @@
 	struct pb_str value;
 };
 
+/* True for an HTTP token (RFC 9110), the form of methods and header names. */
+bool pb_is_token(struct pb_str text);
+/* True when the name is a token and the value has no CR, LF, NUL or such. */
+bool pb_is_header(const struct pb_header *header);
+/* True for a terminated path and query without spaces or control bytes. */
+bool pb_is_target(const char *target);
+/* True for headers that only routers set: X-Pb-... and X-Poplarbeam-... */
+bool pb_is_router_header(struct pb_str name);
+
 /* Where an answer goes. The ops table is the first member. */
 struct pb_sink;
 
@@ -60,10 +69,11 @@
 void pb_drop_client(struct pb_context *ctx, struct pb_client *client);
 
 /*
- * Makes one call and blocks until it ends. PB_OK when the answer is complete;
- * otherwise an error, and result tells what is known. An answer that is framed
- * only by the end of the connection counts as incomplete, because it cannot
- * be told from a truncated one.
+ * Makes one call and blocks until it ends. PB_EINVAL, with nothing sent, when
+ * method, target or a header would break the HTTP syntax. PB_OK when the answer
+ * is complete; otherwise an error, and result tells what is known. An answer
+ * that is framed only by the end of the connection counts as incomplete,
+ * because it cannot be told from a truncated one.
  */
 int pb_call_http(struct pb_context *ctx, struct pb_client *client,
     const struct pb_call *call, struct pb_sink *sink,
--- a/source/boot/boot-load.c
+++ b/source/boot/boot-load.c
@@ -44,6 +44,16 @@
 
 #define FIELD_COUNT (sizeof(fields) / sizeof(fields[0]))
 
+/* The values become parts of headers, URLs and listening addresses. */
+static bool
+is_plain(const char *text)
+{
+	for (; *text != '\0'; text++)
+		if (*text <= ' ' || *text > '~')
+			return false;
+	return true;
+}
+
 static int
 set_field(struct pb_context *ctx, const char *name, size_t line,
     const struct field *f, const char *value, struct pb_boot *boot)
@@ -53,10 +63,12 @@
 	long n;
 
 	if (f->cap > 0) {
-		if (*value == '\0' || strlen(value) >= f->cap)
+		if (*value == '\0' || strlen(value) >= f->cap ||
+		    !is_plain(value))
 			return pb_set_error(ctx, PB_EINVAL, "boot", name,
-			    "%s:%zu: %s: must have 1 to %zu characters", name,
-			    line, f->key, f->cap - 1);
+			    "%s:%zu: %s: must have 1 to %zu printable "
+			    "characters without spaces",
+			    name, line, f->key, f->cap - 1);
 		pb_copy_str(at, f->cap, value);
 		return PB_OK;
 	}
@@ -132,6 +144,9 @@
 	int rc;
 
 	memset(boot, 0, sizeof(*boot));
+	/* libyaml ends the process when it is given no text. */
+	if (text.data == NULL)
+		text = pb_str_from("");
 	if (!yaml_parser_initialize(&parser))
 		return pb_set_error(
 		    ctx, PB_ENOMEM, "boot", name, "out of memory");
--- a/source/caller/caller-answer.c
+++ b/source/caller/caller-answer.c
@@ -16,17 +16,28 @@
 	    strncasecmp(type.data, "text/event-stream", 17) == 0;
 }
 
+/*
+ * Only routers say what became of a request. A stream has no length, because
+ * a resumed one may be longer than its first part announced.
+ */
+static bool
+is_withheld(struct pb_str name, bool events)
+{
+	return pb_is_router_header(name) ||
+	    (events && name.len == 14 &&
+		strncasecmp(name.data, "Content-Length", 14) == 0);
+}
+
 static void
 keep_head(struct caller_sink *s, int status, const struct pb_header *headers,
-    size_t count)
+    size_t count, bool events)
 {
 	struct pb_arena *arena = s->entry->arena;
 	size_t i, n = 0;
 
 	s->status = status;
 	for (i = 0; i < count; i++) {
-		if (headers[i].name.len >= 5 &&
-		    strncasecmp(headers[i].name.data, "X-Pb-", 5) == 0)
+		if (is_withheld(headers[i].name, events))
 			continue;
 		s->headers[n].name = pb_arena_str(
 		    arena, headers[i].name.data, headers[i].name.len);
@@ -48,7 +59,7 @@
 
 	if (s->mode == ANSWER_STREAM)
 		return events ? 0 : -1; /* resumed */
-	keep_head(s, status, headers, count);
+	keep_head(s, status, headers, count, events);
 	s->mode = events ? ANSWER_STREAM : ANSWER_BUFFER;
 	return 0;
 }
--- a/source/caller/caller-internal.h
+++ b/source/caller/caller-internal.h
@@ -34,11 +34,32 @@
 	char message[160];
 };
 
+/*
+ * Head of a request as the server delivers it, without the connection. Names
+ * and values are terminated.
+ */
+struct caller_head {
+	const char *method;
+	const char *path;
+	const char *query; /* NULL when there is none */
+	struct pb_header headers[PB_CALL_HEADERS_MAX];
+	size_t header_count;
+};
+
 /*
  * Reads and checks the request: account, service, rank, chat, work. False with
  * the fault filled in when nothing may be sent.
  */
 bool entry_parse(struct entry *e, struct fault *fault);
+/*
+ * The parts of entry_parse that need no connection: what can be checked before
+ * the body is read, and the rest, with the body in e->body. The entry refers
+ * to strings of the head.
+ */
+bool entry_parse_head(
+    struct entry *e, const struct caller_head *head, struct fault *fault);
+bool entry_parse_body(
+    struct entry *e, const struct caller_head *head, struct fault *fault);
 
 /* The answer as it goes to the caller. */
 enum answer_mode {
--- a/source/caller/caller-parse.c
+++ b/source/caller/caller-parse.c
@@ -4,13 +4,19 @@
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #define CHAT_PATH "/v1/chat/completions"
 #define BYTES_PER_TOKEN 4 /* rough size of a token in a prompt */
 #define ANSWER_TOKENS_MAX 1000000
-#define BODY_MAX (16 << 20) /* before the service is known */
 #define CHAT_MESSAGES 2 /* messages that identify a chat */
 #define KEY_MAX 100 /* bytes of an idempotency key */
+#define TARGET_MAX 1900 /* bytes; a URL of the HTTP client has 2,048 */
+/*
+ * A relay adds up to 16 headers and its client 4, and a server reads no more
+ * than 64 headers, so that more of a caller's would be lost on the way.
+ */
+#define HEADERS_MAX 40
 
 static bool
 fail(struct fault *f, int status, const char *code, const char *message)
@@ -21,10 +27,16 @@
 	return false;
 }
 
+static const char *
+header_of(const struct caller_head *head, const char *name)
+{
+	return pb_find_header(head->headers, head->header_count, name).data;
+}
+
 static bool
-find_account(struct entry *e, struct fault *f)
+find_account(struct entry *e, const struct caller_head *head, struct fault *f)
 {
-	const char *auth = mg_get_header(e->conn, "Authorization");
+	const char *auth = header_of(head, "Authorization");
 
 	if (auth == NULL || strncmp(auth, "Bearer ", 7) != 0)
 		return fail(f, 401, "no_key",
@@ -37,9 +49,9 @@
 }
 
 static bool
-find_rank(struct entry *e, struct fault *f)
+find_rank(struct entry *e, const struct caller_head *head, struct fault *f)
 {
-	const char *name = mg_get_header(e->conn, "X-Poplarbeam-Rank");
+	const char *name = header_of(head, "X-Poplarbeam-Rank");
 
 	e->req.rank = e->account->default_rank;
 	if (name != NULL)
@@ -138,9 +150,9 @@
 }
 
 static bool
-read_key(struct entry *e, struct fault *f)
+read_key(struct entry *e, const struct caller_head *head, struct fault *f)
 {
-	const char *key = mg_get_header(e->conn, "Idempotency-Key");
+	const char *key = header_of(head, "Idempotency-Key");
 	const char *c;
 
 	if (key == NULL || e->req.idempotent)
@@ -157,67 +169,70 @@
 	return true;
 }
 
-static void
-copy_headers(struct entry *e)
+/* Headers that routers set or that belong to one hop; callers may not. */
+static bool
+is_reserved(struct pb_str name)
+{
+	return pb_is_hop_header(name) ||
+	    (name.len >= 5 && strncasecmp(name.data, "X-Pb-", 5) == 0) ||
+	    strcasecmp(name.data, "X-Poplarbeam-Account") == 0 ||
+	    strcasecmp(name.data, "Authorization") == 0 ||
+	    strcasecmp(name.data, "Host") == 0 ||
+	    strcasecmp(name.data, "Content-Length") == 0;
+}
+
+static bool
+copy_headers(struct entry *e, const struct caller_head *head, struct fault *f)
 {
-	const struct mg_request_info *ri = mg_get_request_info(e->conn);
-	size_t n = 0;
-	int i;
+	size_t i, n = 0;
 
-	for (i = 0; i < ri->num_headers && n < PB_CALL_HEADERS_MAX; i++) {
-		struct pb_str name = pb_str_from(ri->http_headers[i].name);
+	for (i = 0; i < head->header_count; i++) {
+		const struct pb_header *h = &head->headers[i];
 
-		/* Relay headers belong to routers; callers may not set them. */
-		if (pb_is_hop_header(name) ||
-		    (name.len >= 5 &&
-			strncasecmp(name.data, "X-Pb-", 5) == 0) ||
-		    strcasecmp(name.data, "Authorization") == 0 ||
-		    strcasecmp(name.data, "Host") == 0 ||
-		    strcasecmp(name.data, "Content-Length") == 0)
+		if (is_reserved(h->name))
 			continue;
-		e->headers[n].name = name;
-		e->headers[n++].value = pb_str_from(ri->http_headers[i].value);
+		if (!pb_is_header(h))
+			return fail(f, 400, "bad_header",
+			    "a header has a name or value that HTTP forbids");
+		if (n == HEADERS_MAX)
+			return fail(f, 431, "too_many_headers",
+			    "the request has more than 40 headers");
+		e->headers[n++] = *h;
 	}
 	e->headers[n].name = pb_str_from("X-Poplarbeam-Account");
 	e->headers[n++].value = pb_str_from(e->account->name);
 	e->req.headers = e->headers;
 	e->req.header_count = n;
+	return true;
 }
 
 static bool
-read_target(struct entry *e, struct fault *f)
+read_target(struct entry *e, const struct caller_head *head, struct fault *f)
 {
-	const struct mg_request_info *ri = mg_get_request_info(e->conn);
 	struct pb_buf target = {0};
 
-	e->req.method = ri->request_method;
-	pb_append_fmt(&target, ri->query_string != NULL ? "%s?%s" : "%s",
-	    ri->request_uri, ri->query_string);
+	e->req.method = head->method;
+	pb_append_fmt(&target, head->query != NULL ? "%s?%s" : "%s", head->path,
+	    head->query);
 	e->req.target =
 	    target.data != NULL ? pb_arena_strdup(e->arena, target.data) : NULL;
 	pb_clear_buf(&target);
-	if (e->req.target == NULL || e->req.target[0] != '/')
-		return fail(f, 400, "bad_path", "the path must begin with /");
+	if (e->req.target == NULL || e->req.target[0] != '/' ||
+	    !pb_is_target(e->req.target))
+		return fail(f, 400, "bad_path",
+		    "the path must begin with / and be printable ASCII");
+	if (strlen(e->req.target) > TARGET_MAX)
+		return fail(f, 414, "path_too_long",
+		    "the path and query are longer than 1900 bytes");
+	if (!pb_is_token(pb_str_from(e->req.method)))
+		return fail(f, 400, "bad_method", "the method is no token");
 	return true;
 }
 
-static bool
-read_body(struct entry *e, struct fault *f)
-{
-	switch (pb_read_body(e->ctx, e->conn, BODY_MAX, &e->body)) {
-	case PB_OK:
-		return true;
-	case PB_EINVAL:
-		return fail(f, 413, "body_too_large", e->ctx->error.text);
-	default:
-		return fail(f, 400, "body_incomplete", e->ctx->error.text);
-	}
-}
-
 static void
-set_identity(struct entry *e)
+set_identity(struct entry *e, const struct caller_head *head)
 {
-	const char *chat = mg_get_header(e->conn, "X-Poplarbeam-Chat");
+	const char *chat = header_of(head, "X-Poplarbeam-Chat");
 	const struct pb_request *r = &e->req;
 	uint64_t h = pb_hash_cstr(e->service->name, 0);
 
@@ -231,19 +246,29 @@
 	e->req.deadline_us = pb_now(e->ctx) + e->service->timeout_us;
 }
 
-bool
-entry_parse(struct entry *e, struct fault *f)
+static bool
+is_chat(const struct entry *e)
 {
-	bool chat;
+	return strcmp(e->req.target, CHAT_PATH) == 0;
+}
 
-	if (!read_target(e, f) || !find_account(e, f) || !find_rank(e, f))
+bool
+entry_parse_head(
+    struct entry *e, const struct caller_head *head, struct fault *f)
+{
+	if (!read_target(e, head, f) || !find_account(e, head, f) ||
+	    !find_rank(e, head, f) || !copy_headers(e, head, f))
 		return false;
-	chat = strcmp(e->req.target, CHAT_PATH) == 0;
-	if (chat && strcmp(e->req.method, "POST") != 0)
+	if (is_chat(e) && strcmp(e->req.method, "POST") != 0)
 		return fail(f, 405, "bad_method", "chats are sent with POST");
-	if (!read_body(e, f))
-		return false;
-	if (chat ? !parse_chat(e, f) : !parse_plain(e, f))
+	return true;
+}
+
+bool
+entry_parse_body(
+    struct entry *e, const struct caller_head *head, struct fault *f)
+{
+	if (is_chat(e) ? !parse_chat(e, f) : !parse_plain(e, f))
 		return false;
 	if (e->body.len > e->service->max_body_bytes) {
 		snprintf(f->message, sizeof(f->message),
@@ -253,9 +278,8 @@
 		f->code = "body_too_large";
 		return false;
 	}
-	if (!read_key(e, f))
+	if (!read_key(e, head, f))
 		return false;
-	set_identity(e);
-	copy_headers(e);
+	set_identity(e, head);
 	return true;
 }
--- a/source/caller/caller-sse.c
+++ b/source/caller/caller-sse.c
@@ -37,7 +37,20 @@
 	}
 }
 
-/* Length of the whole events at the start of the buffer. */
+/* True when the line that ends at the LF at place i is empty. */
+static bool
+is_blank(const char *d, size_t i)
+{
+	if (i > 0 && d[i - 1] == '\r')
+		i--;
+	return i == 0 || d[i - 1] == '\n';
+}
+
+/*
+ * Length of the whole events at the start of the buffer, which begins with a
+ * line. A blank line there is passed on too, so that the places where the
+ * input is split make no difference.
+ */
 static size_t
 find_end(struct pb_sse *sse)
 {
@@ -45,10 +58,7 @@
 	size_t i, end = 0;
 
 	for (i = sse->scanned; i < sse->partial.len; i++) {
-		if (d[i] != '\n' || i == 0)
-			continue;
-		if (d[i - 1] == '\n' ||
-		    (i >= 2 && d[i - 1] == '\r' && d[i - 2] == '\n'))
+		if (d[i] == '\n' && is_blank(d, i))
 			end = i + 1;
 	}
 	sse->scanned = sse->partial.len;
--- a/source/claim/claim-row.c
+++ b/source/claim/claim-row.c
@@ -143,17 +143,31 @@
 	return rc;
 }
 
+static bool
+is_header_value(const char *text)
+{
+	for (; *text != '\0'; text++)
+		if (((unsigned char)*text < ' ' && *text != '\t') ||
+		    *text == 0x7f)
+			return false;
+	return true;
+}
+
 static bool
 decode_outcome(const json_t *root, struct pb_claim_record *out)
 {
 	const json_t *status = json_object_get(root, "status");
 	const json_t *body = json_object_get(root, "body64");
 
-	if (!json_is_integer(status))
+	if (json_integer_value(status) < 100 ||
+	    json_integer_value(status) > 599)
 		return false;
 	out->status = (int)json_integer_value(status);
 	pb_copy_str(out->content_type, sizeof(out->content_type),
 	    json_string_value(json_object_get(root, "content_type")));
+	/* It becomes a header when the outcome is sent again. */
+	if (!is_header_value(out->content_type))
+		return false;
 	out->answer_omitted = body == NULL;
 	return body == NULL || decode_bytes(body, &out->answer);
 }
@@ -176,7 +190,7 @@
 	pb_copy_str(out->attempt, sizeof(out->attempt), attempt);
 	out->fingerprint = strtoull(fingerprint, &end, 16);
 	out->wall_us = json_integer_value(wall);
-	if (end == fingerprint || *end != '\0')
+	if (end == fingerprint || *end != '\0' || out->wall_us < 0)
 		return false;
 	for (i = PB_ROW_CLAIMED; i <= PB_ROW_UNKNOWN; i++)
 		if (strcmp(state, state_names[i]) == 0)
--- a/source/platform/platform-http.h
+++ b/source/platform/platform-http.h
@@ -3,7 +3,7 @@
 
 #include <jansson.h>
 
-#include "poplarbeam/base.h"
+#include "poplarbeam/platform.h"
 
 /*
  * HTTP client of the platform adapters: calls to one base URL, usable from many
@@ -58,4 +58,11 @@
 /* Appends src percent-encoded; slashes stay when keep_slash is set. */
 int pb_append_escaped(struct pb_buf *buf, const char *src, bool keep_slash);
 
+/*
+ * Instances from the text of a list; the caller frees *out. Malformed entries
+ * are left out. PB_OK, PB_EPROTO or PB_ENOMEM.
+ */
+int pb_parse_instances(struct pb_context *ctx, const char *peer,
+    struct pb_str text, struct pb_instance **out, size_t *count);
+
 #endif
--- a/source/platform/platform-lists.c
+++ b/source/platform/platform-lists.c
@@ -19,7 +19,20 @@
 	struct pb_http_pool *pool;
 };
 
-/* An absent member is empty; false when it is no string or does not fit. */
+/* Ids and addresses become parts of headers and URLs. */
+static bool
+is_plain(const char *text)
+{
+	for (; *text != '\0'; text++)
+		if (*text <= ' ' || *text > '~')
+			return false;
+	return true;
+}
+
+/*
+ * An absent member is empty; false when it is no string, does not fit or has
+ * characters that are not printable ASCII.
+ */
 static bool
 copy_member(const json_t *src, const char *name, char *dst, size_t cap)
 {
@@ -29,7 +42,8 @@
 		dst[0] = '\0';
 		return true;
 	}
-	if (!json_is_string(member) || json_string_length(member) >= cap)
+	if (!json_is_string(member) || json_string_length(member) >= cap ||
+	    !is_plain(json_string_value(member)))
 		return false;
 	pb_copy_str(dst, cap, json_string_value(member));
 	return true;
@@ -98,6 +112,25 @@
 	return PB_OK;
 }
 
+int
+pb_parse_instances(struct pb_context *ctx, const char *peer, struct pb_str text,
+    struct pb_instance **out, size_t *count)
+{
+	json_t *root = json_loadb(text.data, text.len, 0, NULL);
+	const json_t *items = json_object_get(root, "instances");
+	int rc;
+
+	*out = NULL;
+	*count = 0;
+	if (json_is_array(items))
+		rc = read_instances(ctx, peer, items, out, count);
+	else
+		rc = pb_set_error(ctx, PB_EPROTO, "instances", peer,
+		    "the answer holds no list of instances");
+	json_decref(root);
+	return rc;
+}
+
 static int
 fetch_instances(struct pb_context *ctx, struct pb_instances *list,
     struct pb_instance **out, size_t *count)
@@ -106,24 +139,17 @@
 	struct pb_http_call call = {"GET", "/instances/v1", PB_STR_NONE,
 	    INSTANCES_MAX, false, "instances"};
 	struct pb_http_reply reply = {0};
-	json_t *root = NULL, *items;
 	int rc;
 
 	*out = NULL;
 	*count = 0;
-	if ((rc = pb_call_platform(ctx, l->pool, &call, &reply)) != PB_OK ||
-	    (rc = pb_check_http_status(ctx, l->pool, &call, &reply)) != PB_OK)
-		goto out;
-	root = pb_parse_http_body(ctx, l->pool, &call, &reply);
-	items = json_object_get(root, "instances");
-	if (json_is_array(items))
-		rc = read_instances(
-		    ctx, pb_http_peer(l->pool), items, out, count);
-	else
-		rc = pb_set_error(ctx, PB_EPROTO, call.step,
-		    pb_http_peer(l->pool), "%s: no instances", call.path);
-out:
-	json_decref(root);
+	rc = pb_call_platform(ctx, l->pool, &call, &reply);
+	if (rc == PB_OK)
+		rc = pb_check_http_status(ctx, l->pool, &call, &reply);
+	if (rc == PB_OK)
+		rc = pb_parse_instances(ctx, pb_http_peer(l->pool),
+		    (struct pb_str){reply.body.data, reply.body.len}, out,
+		    count);
 	pb_clear_buf(&reply.body);
 	return rc;
 }
--- a/source/relay/relay-client.c
+++ b/source/relay/relay-client.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define CONTROL_HEADERS 16
+#define RETRY_MAX_MS 3600000
 #define CONNECT_LIMIT (500 * PB_MSEC) /* routers of a region are near */
 
 /* Learns from the answer's head how the owner dealt with the request. */
@@ -35,6 +36,15 @@
 	    s.data != NULL ? s.data : "");
 }
 
+/* Microseconds; a value that is absent or not plausible counts as 1 s. */
+static int64_t
+parse_retry(struct pb_str text)
+{
+	long long ms = text.data != NULL ? strtoll(text.data, NULL, 10) : -1;
+
+	return ms >= 0 && ms <= RETRY_MAX_MS ? ms * PB_MSEC : PB_SEC;
+}
+
 static int
 relay_head(struct pb_sink *sink, int status, const struct pb_header *headers,
     size_t count)
@@ -59,9 +69,7 @@
 	if (pb_str_equal_c(how, "not-run")) {
 		r->kind = PB_RUN_NOT_RUN;
 		r->reason = parse_refusal(code);
-		r->retry_after_us = retry.data != NULL
-		    ? strtoll(retry.data, NULL, 10) * PB_MSEC
-		    : PB_SEC;
+		r->retry_after_us = parse_retry(retry);
 	} else {
 		r->kind = PB_RUN_UNKNOWN;
 	}
@@ -170,7 +178,8 @@
 		judge_failure(ctx, result, false);
 		return;
 	}
-	call.header_count = describe_request(arena, req, remaining_us, headers);
+	call.header_count = describe_request(
+	    arena, req, remaining_us > 0 ? remaining_us : 0, headers);
 	call.idle_us = req->idle_us + req->wait_us;
 	pb_count(node->metrics, PB_COUNT_RELAYED, 1);
 	rc = pb_call_http(ctx, node->client, &call, &sink.base, &res);
--- a/source/relay/relay-server.c
+++ b/source/relay/relay-server.c
@@ -1,5 +1,5 @@
-#include "poplarbeam/relay.h"
 #include "poplarbeam/server.h"
+#include "relay-parse.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -24,12 +24,19 @@
     size_t count)
 {
 	struct forward_sink *s = (struct forward_sink *)sink;
+	struct pb_header kept[PB_CALL_HEADERS_MAX];
 	char extra[128];
+	size_t i, n = 0;
+
+	/* An upstream must not speak for the owner. */
+	for (i = 0; i < count && n < PB_CALL_HEADERS_MAX; i++)
+		if (!pb_is_router_header(headers[i].name))
+			kept[n++] = headers[i];
 
 	snprintf(extra, sizeof(extra),
 	    "X-Pb-Result: started\r\nX-Pb-Upstream: %s\r\n",
 	    s->result->upstream);
-	return pb_begin_answer(&s->answer, status, headers, count, extra);
+	return pb_begin_answer(&s->answer, status, kept, n, extra);
 }
 
 static int
@@ -40,22 +47,6 @@
 	return pb_write_answer(&s->answer, data, len);
 }
 
-static uint64_t
-number_header(const struct mg_connection *conn, const char *name, int base)
-{
-	struct pb_str s = pb_request_header(conn, name);
-
-	return s.data != NULL ? strtoull(s.data, NULL, base) : 0;
-}
-
-static const char *
-text_header(const struct mg_connection *conn, const char *name)
-{
-	const char *v = mg_get_header(conn, name);
-
-	return v != NULL ? v : "";
-}
-
 static size_t
 copy_headers(
     const struct mg_connection *conn, struct pb_header *out, size_t cap)
@@ -71,41 +62,6 @@
 	return n;
 }
 
-static void
-parse_request(struct pb_context *ctx, const struct mg_connection *conn,
-    struct pb_request *req)
-{
-	req->service = text_header(conn, "X-Pb-Service");
-	req->account = text_header(conn, "X-Pb-Account");
-	req->method = text_header(conn, "X-Pb-Method");
-	req->target = text_header(conn, "X-Pb-Target");
-	pb_copy_str(
-	    req->id, sizeof(req->id), text_header(conn, "X-Pb-Request"));
-	pb_copy_str(req->resume_on, sizeof(req->resume_on),
-	    text_header(conn, "X-Pb-Resume-Engine"));
-	pb_copy_str(req->failed_owner, sizeof(req->failed_owner),
-	    text_header(conn, "X-Pb-Failed-Owner"));
-	req->resume_after = number_header(conn, "X-Pb-Resume-After", 10);
-	req->cell = (int)number_header(conn, "X-Pb-Cell", 10);
-	req->rank = (int)number_header(conn, "X-Pb-Rank", 10);
-	req->chat = number_header(conn, "X-Pb-Chat", 16);
-	req->fingerprint = number_header(conn, "X-Pb-Fingerprint", 16);
-	req->work = (uint32_t)number_header(conn, "X-Pb-Work", 10);
-	req->idempotent = number_header(conn, "X-Pb-Idempotent", 10) != 0;
-	req->wait_us =
-	    (int64_t)number_header(conn, "X-Pb-Wait-Ms", 10) * PB_MSEC;
-	req->deadline_us = pb_now(ctx) +
-	    (int64_t)number_header(conn, "X-Pb-Deadline-Ms", 10) * PB_MSEC;
-}
-
-static bool
-is_valid(const struct pb_request *req)
-{
-	return req->id[0] != '\0' && *req->service != '\0' &&
-	    *req->method != '\0' && *req->target == '/' && req->cell >= 0 &&
-	    req->rank >= 0 && req->rank < PB_RANKS_MAX;
-}
-
 static int
 send_verdict(struct mg_connection *conn, const struct pb_run_result *r)
 {
@@ -139,11 +95,11 @@
 		return pb_send_text(
 		    conn, 404, "text/plain", NULL, pb_str_from("not found\n"));
 	memset(&req, 0, sizeof(req));
-	parse_request(&ctx, conn, &req);
 	req.headers = headers;
 	req.header_count = copy_headers(conn, headers, PB_CALL_HEADERS_MAX);
 	rc = pb_read_body(&ctx, conn, RELAY_BODY_MAX, &body);
-	if (rc != PB_OK || !is_valid(&req)) {
+	if (rc != PB_OK ||
+	    !relay_parse(&ctx, headers, req.header_count, &req)) {
 		pb_clear_buf(&body);
 		return pb_send_text(conn, 400, "text/plain", NULL,
 		    pb_str_from("malformed relay\n"));
--- a/source/router/router-members.c
+++ b/source/router/router-members.c
@@ -1,6 +1,6 @@
 #include "router-internal.h"
+#include "router-report.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -120,30 +120,25 @@
 
 /* Takes over one load report. */
 static void
-read_report(struct pb_context *ctx, struct pb_router *r,
+take_report(struct pb_context *ctx, struct pb_router *r,
     const struct pb_probe *probe, const struct pb_buf *body)
 {
-	json_t *v = json_loadb(body->data, body->len, 0, NULL);
 	uint64_t id = pb_hash_cstr(probe->id, 0);
-	json_int_t work = json_integer_value(json_object_get(v, "work"));
-	json_int_t age = json_integer_value(json_object_get(v, "age_ms"));
-	json_t *throttle = json_object_get(v, "throttle");
-	bool leaving = json_is_true(json_object_get(v, "leaving"));
+	struct load_report report;
 
-	if (!json_is_object(v)) {
-		json_decref(v);
+	if (!router_parse_report(
+		(struct pb_str){body->data, body->len}, &report)) {
+		pb_log(ctx, PB_WARN, "probe", probe->id, NULL,
+		    "the load report is malformed");
 		return;
 	}
-	pb_note_probe(
-	    ctx, r->owner, probe, work > 0 ? (uint64_t)work : 0, age * PB_MSEC);
+	pb_note_probe(ctx, r->owner, probe, report.work, report.age_us);
 	pthread_mutex_lock(&r->members_lock);
 	pb_note_evidence(ctx, r->members, id, probe->incarnation,
-	    leaving ? PB_SAW_LEAVING : PB_SAW_ANSWER);
-	if (json_is_number(throttle))
-		pb_note_capacity(
-		    ctx, r->members, id, 0, json_number_value(throttle));
+	    report.leaving ? PB_SAW_LEAVING : PB_SAW_ANSWER);
+	if (report.has_throttle)
+		pb_note_capacity(ctx, r->members, id, 0, report.throttle);
 	pthread_mutex_unlock(&r->members_lock);
-	json_decref(v);
 }
 
 static void
@@ -165,7 +160,7 @@
 	pb_count(r->node->metrics, PB_COUNT_PROBES, 1);
 	pb_count(r->node->metrics, PB_COUNT_CONTROL_SENT, PROBE_BYTES);
 	if (rc == PB_OK && res.status == 200)
-		read_report(ctx, r, probe, &sink.body);
+		take_report(ctx, r, probe, &sink.body);
 	else if (rc != PB_OK)
 		note_evidence(ctx, r, pb_hash_cstr(probe->id, 0),
 		    probe->incarnation,
--- /dev/null
+++ b/source/router/router-report.h
@@ -0,0 +1,18 @@
+#ifndef ROUTER_REPORT_H
+#define ROUTER_REPORT_H
+
+#include "poplarbeam/base.h"
+
+/* What an upstream says about itself at GET /v1/load. */
+struct load_report {
+	uint64_t work; /* work units in flight and waiting */
+	int64_t age_us;
+	bool has_throttle;
+	double throttle; /* 0 to 1 */
+	bool leaving;
+};
+
+/* False when the text is not a report or a value is out of its range. */
+bool router_parse_report(struct pb_str text, struct load_report *out);
+
+#endif
--- a/source/server/server-http.c
+++ b/source/server/server-http.c
@@ -132,7 +132,12 @@
 	if (len == 0)
 		return a->broken ? -1 : 0;
 	if (!a->chunked) {
-		a->left -= len < a->left ? len : a->left;
+		/* The surplus would be read as the start of another answer. */
+		if (len > a->left) {
+			a->broken = true;
+			return -1;
+		}
+		a->left -= len;
 		return write_all(a, data, len) ? 0 : -1;
 	}
 	/* One write for the chunk, so that it leaves in one segment. */
--- a/source/upstream/upstream-client.c
+++ b/source/upstream/upstream-client.c
@@ -1,4 +1,4 @@
-#include "poplarbeam/upstream.h"
+#include "upstream-head.h"
 
 #include <curl/curl.h>
 #include <pthread.h>
@@ -132,87 +132,33 @@
 	const struct pb_call *call;
 	struct pb_sink *sink;
 	struct pb_call_result *result;
-	struct pb_arena *arena;
-	struct pb_header headers[PB_CALL_HEADERS_MAX];
-	size_t header_count;
-	bool framed; /* has a length or chunks */
-	bool head_done;
+	struct answer_head head;
 	bool idled;
 	int64_t last_us;
 };
 
-static int
-deliver_head(struct transfer *t)
-{
-	if (t->head_done)
-		return 0;
-	t->head_done = true;
-	if (t->sink->ops->head(
-		t->sink, t->result->status, t->headers, t->header_count) == 0)
-		return 0;
-	t->result->sink_stopped = true;
-	return -1;
-}
-
-static void
-begin_head(struct transfer *t, const char *line, size_t len)
-{
-	char copy[32];
-
-	pb_copy_str(copy, len < sizeof(copy) ? len + 1 : sizeof(copy), line);
-	t->header_count = 0;
-	t->framed = false;
-	t->result->status = 0;
-	if (strlen(copy) >= 12)
-		t->result->status = atoi(copy + 9);
-}
-
-static void
-store_header(struct transfer *t, const char *line, size_t len)
-{
-	const char *colon = memchr(line, ':', len);
-	size_t start, end = len;
-	struct pb_header *h;
-
-	if (colon == NULL || t->header_count >= PB_CALL_HEADERS_MAX)
-		return;
-	start = (size_t)(colon - line) + 1;
-	while (start < end && line[start] == ' ')
-		start++;
-	while (end > start && (line[end - 1] == '\r' || line[end - 1] == '\n'))
-		end--;
-	h = &t->headers[t->header_count++];
-	h->name = pb_arena_str(t->arena, line, (size_t)(colon - line));
-	h->value = pb_arena_str(t->arena, line + start, end - start);
-	if (h->name.data == NULL || h->value.data == NULL) {
-		t->header_count--;
-		return;
-	}
-	if (strcasecmp(h->name.data, "Content-Length") == 0 ||
-	    strcasecmp(h->name.data, "Transfer-Encoding") == 0)
-		t->framed = true;
-}
-
 static size_t
 on_header(char *data, size_t size, size_t count, void *arg)
 {
 	struct transfer *t = arg;
+	struct answer_head *head = &t->head;
 	size_t len = size * count;
 
 	t->last_us = pb_now(t->ctx);
-	if (len > 5 && memcmp(data, "HTTP/", 5) == 0) {
-		begin_head(t, data, len);
+	switch (answer_head_line(head, data, len)) {
+	case HEAD_MORE:
 		return len;
+	case HEAD_BAD:
+		return 0;
+	default:
+		break;
 	}
-	if (len <= 2) {
-		/* A 1xx head is followed by the real one. */
-		if (t->result->status >= 200 && deliver_head(t) != 0)
-			return 0;
+	t->result->status = head->status;
+	if (t->sink->ops->head(
+		t->sink, head->status, head->headers, head->header_count) == 0)
 		return len;
-	}
-	if (!t->head_done)
-		store_header(t, data, len);
-	return len;
+	t->result->sink_stopped = true;
+	return 0;
 }
 
 static size_t
@@ -248,27 +194,47 @@
 	return 0;
 }
 
+/* True when nothing in the call can end a line early. */
+static bool
+is_valid(const struct pb_call *call)
+{
+	size_t i;
+
+	for (i = 0; i < call->header_count; i++)
+		if (!pb_is_header(&call->headers[i]))
+			return false;
+	return pb_is_token(pb_str_from(call->method)) &&
+	    call->target[0] == '/' && pb_is_target(call->target);
+}
+
+/* The list with one line more; NULL, and the list freed, without memory. */
+static struct curl_slist *
+add_line(struct curl_slist *list, const struct pb_header *h)
+{
+	struct curl_slist *next = NULL;
+	struct pb_buf line = {0};
+
+	/* libcurl sends a header without a value when it ends with ";". */
+	if (pb_append_buf(&line, h->name.data, h->name.len) == PB_OK &&
+	    pb_append_fmt(&line, h->value.len > 0 ? ": " : ";") == PB_OK &&
+	    pb_append_buf(&line, h->value.data, h->value.len) == PB_OK)
+		next = curl_slist_append(list, line.data);
+	if (next == NULL)
+		curl_slist_free_all(list);
+	pb_clear_buf(&line);
+	return next;
+}
+
+/* NULL when memory runs out: a call never goes out without a header. */
 static struct curl_slist *
 build_headers(const struct pb_call *call)
 {
-	struct curl_slist *list = NULL, *next;
-	char line[2048];
+	/* No "Expect: 100-continue": it costs a round trip. */
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
 	size_t i;
 
-	/* No "Expect: 100-continue": it costs a round trip. */
-	list = curl_slist_append(list, "Expect:");
-	for (i = 0; i < call->header_count; i++) {
-		const struct pb_header *h = &call->headers[i];
-
-		snprintf(line, sizeof(line),
-		    h->value.len > 0 ? "%.*s: %.*s" : "%.*s;", (int)h->name.len,
-		    h->name.data, (int)h->value.len,
-		    h->value.data != NULL ? h->value.data : "");
-		next = curl_slist_append(list, line);
-		if (next == NULL)
-			break;
-		list = next;
-	}
+	for (i = 0; i < call->header_count && list != NULL; i++)
+		list = add_line(list, &call->headers[i]);
 	return list;
 }
 
@@ -347,10 +313,13 @@
 	const char *peer = t->call->peer;
 
 	r->sent = was_sent(curl, rc);
-	if (rc == CURLE_OK && (t->framed || !has_body(t))) {
+	if (rc == CURLE_OK && (t->head.framed || !has_body(t))) {
 		r->complete = true;
 		return PB_OK;
 	}
+	if (t->head.fault != NULL)
+		return pb_set_error(t->ctx, PB_EPROTO, "receive", peer,
+		    "answer head: %s", t->head.fault);
 	if (rc == CURLE_OK)
 		return pb_set_error(t->ctx, PB_EPROTO, "receive", peer,
 		    "answer has neither a length nor chunks");
@@ -385,18 +354,21 @@
 	int code;
 
 	memset(result, 0, sizeof(*result));
+	if (!is_valid(call))
+		return pb_set_error(ctx, PB_EINVAL, "send", call->peer,
+		    "method, target or a header is not valid in HTTP");
 	if (snprintf(url, sizeof(url), "http://%s%s", call->address,
 		call->target) >= (int)sizeof(url))
 		return pb_set_error(ctx, PB_EINVAL, "send", call->peer,
 		    "target is longer than %d bytes", TARGET_MAX);
 	curl = take_handle(client, call->address);
-	t.arena = pb_new_arena(ctx);
-	if (curl == NULL || t.arena == NULL) {
+	t.head.arena = pb_new_arena(ctx);
+	headers = build_headers(call);
+	if (curl == NULL || t.head.arena == NULL || headers == NULL) {
 		code = pb_set_error(
 		    ctx, PB_ENOMEM, "send", call->peer, "out of memory");
 		goto done;
 	}
-	headers = build_headers(call);
 	set_options(curl, &t, url);
 	set_method(curl, call);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
@@ -404,7 +376,7 @@
 	code = conclude(&t, curl, rc);
 done:
 	curl_slist_free_all(headers);
-	pb_drop_arena(ctx, t.arena);
+	pb_drop_arena(ctx, t.head.arena);
 	if (curl != NULL) {
 		if (code == PB_OK && !call->fresh)
 			return_handle(client, call->address, curl);
--- a/source/upstream/upstream-sink.c
+++ b/source/upstream/upstream-sink.c
@@ -16,6 +16,54 @@
 	return PB_STR_NONE;
 }
 
+bool
+pb_is_token(struct pb_str text)
+{
+	size_t i;
+
+	for (i = 0; i < text.len; i++) {
+		unsigned char ch = (unsigned char)text.data[i];
+
+		if (ch <= ' ' || ch >= 0x7f ||
+		    strchr("\"(),/:;<=>?@[\\]{}", ch) != NULL)
+			return false;
+	}
+	return text.len > 0;
+}
+
+bool
+pb_is_header(const struct pb_header *header)
+{
+	size_t i;
+
+	for (i = 0; i < header->value.len; i++) {
+		unsigned char ch = (unsigned char)header->value.data[i];
+
+		if ((ch < ' ' && ch != '\t') || ch == 0x7f)
+			return false;
+	}
+	return pb_is_token(header->name);
+}
+
+bool
+pb_is_target(const char *target)
+{
+	const char *c;
+
+	for (c = target; *c != '\0'; c++)
+		if (*c <= ' ' || *c > '~')
+			return false;
+	return true;
+}
+
+bool
+pb_is_router_header(struct pb_str name)
+{
+	return (name.len >= 5 && strncasecmp(name.data, "X-Pb-", 5) == 0) ||
+	    (name.len >= 13 &&
+		strncasecmp(name.data, "X-Poplarbeam-", 13) == 0);
+}
+
 static int
 buffer_head(struct pb_sink *sink, int status, const struct pb_header *headers,
     size_t count)
--- a/standin/pb-app.c
+++ b/standin/pb-app.c
@@ -14,6 +14,7 @@
 	pthread_mutex_t lock;
 	const char *id;
 	int64_t delay_us;
+	const char *header; /* header line added to answers; may be NULL */
 	bool leaving;
 	int running;
 	json_t *runs; /* {body: times} */
@@ -33,6 +34,16 @@
 	return n;
 }
 
+/* Answers with the additional header line. */
+static int
+send_with_header(struct app *a, struct mg_connection *conn, int64_t n)
+{
+	mg_printf(conn,
+	    "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 7\r\n\r\nrun %3d",
+	    a->header, (int)(n % 1000));
+	return 200;
+}
+
 static int
 handle_call(struct app *a, struct mg_connection *conn)
 {
@@ -51,6 +62,10 @@
 	if (strcmp(ri->request_method, "POST") == 0)
 		n = count_run(a, text);
 	serve_sleep(a->delay_us);
+	if (a->header != NULL) {
+		pb_clear_buf(&body);
+		return send_with_header(a, conn, n);
+	}
 	rc = serve_json(conn, 200,
 	    json_pack("{s:s,s:s,s:s,s:s?,s:s,s:I}", "instance", a->id, "method",
 		ri->request_method, "path", ri->request_uri, "query",
@@ -112,8 +127,10 @@
 	struct arg_str *listen = arg_str1(NULL, "listen", "ADDR", "host:port");
 	struct arg_int *delay =
 	    arg_int0(NULL, "delay-ms", "MS", "time for one call, 5");
+	struct arg_str *header =
+	    arg_str0(NULL, "header", "LINE", "header added to answers");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {id, listen, delay, end};
+	void *table[] = {id, listen, delay, header, end};
 	struct mg_context *mg;
 	struct app a;
 
@@ -126,6 +143,7 @@
 	pthread_mutex_init(&a.lock, NULL);
 	a.id = id->sval[0];
 	a.delay_us = (delay->count ? delay->ival[0] : 5) * PB_MSEC;
+	a.header = header->count ? header->sval[0] : NULL;
 	a.runs = json_object();
 	serve_block_signals();
 	mg = serve_start(listen->sval[0], 64, handle_request, &a);
--- /dev/null
+++ b/tests/test-hostile.c
@@ -0,0 +1,333 @@
+#include "../source/caller/caller-internal.h"
+#include "../source/claim/claim-row.h"
+#include "../source/platform/platform-http.h"
+#include "../source/relay/relay-parse.h"
+#include "../source/router/router-report.h"
+#include "../source/upstream/upstream-head.h"
+#include "poplarbeam/boot.h"
+
+#include <CUnit/Basic.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* What a hostile caller, upstream or platform may send. */
+
+static struct pb_context *ctx;
+
+static const char settings_text[] = "services:\n"
+				    "  - {name: p, kind: plain, prefix: /p}\n"
+				    "accounts:\n"
+				    "  - {name: a, key: key-key-a}\n";
+
+/* Parses a POST to path with an added header; the status, 0 when accepted. */
+static int
+call(struct entry *e, const char *path, const char *name, const char *value,
+    int times)
+{
+	struct pb_settings_text text = {
+	    "t", "t", {settings_text, sizeof(settings_text) - 1}};
+	struct pb_settings_report report = {.count = 0};
+	struct caller_head head = {
+	    .method = "POST", .path = path, .header_count = 1};
+	struct fault f;
+
+	memset(e, 0, sizeof(*e));
+	e->ctx = ctx;
+	e->arena = pb_new_arena(ctx);
+	e->settings = pb_parse_settings(ctx, &text, 1, 1, &report);
+	head.headers[0].name = pb_str_from("Authorization");
+	head.headers[0].value = pb_str_from("Bearer key-key-a");
+	for (; times > 0; times--) {
+		head.headers[head.header_count].name = pb_str_from(name);
+		head.headers[head.header_count++].value = pb_str_from(value);
+	}
+	if (entry_parse_head(e, &head, &f) && entry_parse_body(e, &head, &f))
+		return 0;
+	return f.status;
+}
+
+static void
+clear(struct entry *e)
+{
+	pb_drop_settings(ctx, e->settings);
+	pb_drop_arena(ctx, e->arena);
+}
+
+/*
+ * Guards against a caller that speaks as a router or as another account, that
+ * ends a header line early, or whose headers are lost on the way.
+ */
+static void
+test_caller(void)
+{
+	static const struct {
+		const char *path, *name, *value;
+		int times, status;
+		size_t headers; /* of an accepted request */
+	} cases[] = {
+	    {"/p", "X-Pb-Rank", "0", 1, 0, 1},
+	    {"/p", "x-pB-request", "r", 1, 0, 1},
+	    {"/p", "X-Poplarbeam-Account", "b", 1, 0, 1},
+	    {"/p", "Transfer-Encoding", "chunked", 1, 0, 1},
+	    {"/p", "X-A", "b", 40, 0, 41},
+	    {"/p", "X-A", "b", 41, 431, 0},
+	    {"/p", "X-A", "b\r\nX-Pb-Rank: 0", 1, 400, 0},
+	    {"/p", "X-A", "b\rX-Pb-Rank: 0", 1, 400, 0},
+	    {"/p", "X-A", "b\nX-Pb-Rank: 0", 1, 400, 0},
+	    {"/p", "X A", "b", 1, 400, 0},
+	    {"/p", "X-A\r\nX-Pb-Rank", "b", 1, 400, 0},
+	    {"/p/a b", "X-A", "b", 1, 400, 0},
+	    {"/p\r\nX-Pb-Rank: 0", "X-A", "b", 1, 400, 0},
+	};
+	struct entry *e = malloc(sizeof(*e));
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		CU_ASSERT_EQUAL(call(e, cases[i].path, cases[i].name,
+				    cases[i].value, cases[i].times),
+		    cases[i].status);
+		if (cases[i].status == 0) {
+			struct pb_str a = pb_find_header(e->req.headers,
+			    e->req.header_count, "X-Poplarbeam-Account");
+
+			CU_ASSERT_EQUAL(e->req.header_count, cases[i].headers);
+			CU_ASSERT_TRUE(pb_str_equal_c(a, "a"));
+		}
+		clear(e);
+	}
+	free(e);
+}
+
+/* Guards against a target that is cut on its way to the upstream. */
+static void
+test_long_target(void)
+{
+	struct entry *e = malloc(sizeof(*e));
+	char path[2001];
+
+	memset(path, 'x', sizeof(path));
+	memcpy(path, "/p/", 3);
+	path[1900] = '\0';
+	CU_ASSERT_EQUAL(call(e, path, "X-A", "b", 1), 0);
+	CU_ASSERT_STRING_EQUAL(e->req.target, path);
+	clear(e);
+	path[1900] = 'x';
+	path[1901] = '\0';
+	CU_ASSERT_EQUAL(call(e, path, "X-A", "b", 1), 414);
+	clear(e);
+	free(e);
+}
+
+/* Guards against relay numbers that wrap around and ids that change a path. */
+static void
+test_relay(void)
+{
+	static const struct {
+		const char *name, *value;
+		bool ok;
+	} cases[] = {{"X-Pb-Cell", "3", true}, {"X-Pb-Cell", "-1", false},
+	    {"X-Pb-Cell", "4294967296", false}, {"X-Pb-Rank", "8", false},
+	    {"X-Pb-Work", "4294967296", false}, {"X-Pb-Work", " 5", false},
+	    {"X-Pb-Wait-Ms", "9223372036854775807", false},
+	    {"X-Pb-Deadline-Ms", "18446744073709551615", false},
+	    {"X-Pb-Deadline-Ms", "86400000", true}, {"X-Pb-Chat", "fg", false},
+	    {"X-Pb-Idempotent", "2", false},
+	    {"X-Pb-Request", "../load?", false},
+	    {"X-Pb-Request",
+		"0123456789012345678901234567890123456789"
+		"0123456789",
+		false},
+	    {"X-Pb-Method", "GET /x", false}, {"X-Pb-Target", "/a b", false},
+	    {"X-Pb-Target", "a", false}};
+	struct pb_header h[5] = {
+	    {pb_str_from("X-Pb-Service"), pb_str_from("p")},
+	    {pb_str_from("X-Pb-Method"), pb_str_from("GET")},
+	    {pb_str_from("X-Pb-Target"), pb_str_from("/p")},
+	    {pb_str_from("X-Pb-Request"), pb_str_from("r1")}};
+	struct pb_request req;
+	size_t i, at;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pb_header all[5];
+
+		memcpy(all, h, sizeof(all));
+		for (at = 0; at < 4; at++)
+			if (pb_str_equal_c(all[at].name, cases[i].name))
+				break;
+		all[at].name = pb_str_from(cases[i].name);
+		all[at].value = pb_str_from(cases[i].value);
+		memset(&req, 0, sizeof(req));
+		CU_ASSERT_EQUAL(
+		    relay_parse(ctx, all, at < 4 ? 4 : 5, &req), cases[i].ok);
+	}
+}
+
+/* Feeds a head line by line; the number of headers, or -1 when refused. */
+static int
+read_answer(struct answer_head *h, const char *text)
+{
+	enum head_step step = HEAD_MORE;
+
+	memset(h, 0, sizeof(*h));
+	h->arena = pb_new_arena(ctx);
+	while (*text != '\0' && step != HEAD_BAD) {
+		size_t len = strcspn(text, "\n") + 1;
+
+		step = answer_head_line(h, text, len);
+		text += len;
+	}
+	pb_drop_arena(ctx, h->arena);
+	return step == HEAD_BAD ? -1 : (int)h->header_count;
+}
+
+/*
+ * Guards against a head that, passed on, ends the answer elsewhere than the
+ * client saw, so that the rest is read as another caller's answer.
+ */
+static void
+test_answer_head(void)
+{
+	static const struct {
+		const char *text;
+		int headers;
+	} cases[] = {
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", 1},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+	     "Transfer-Encoding: chunked\r\n\r\n",
+		1},
+	    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+	     "Content-Length: 5\r\n\r\n",
+		1},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+	     "Content-Length: 6\r\n\r\n",
+		-1},
+	    {"HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\n", -1},
+	    {"HTTP/1.1 200 OK\r\nX: a\rSet-Cookie: b\r\n\r\n", -1},
+	    {"HTTP/1.1 200 OK\r\nX : a\r\n\r\n", -1},
+	    {"HTTP/1.1 200 OK\r\nX: a\r\n b\r\n\r\n", -1},
+	    {"HTTP/1.1 2000 OK\r\n\r\n", -1},
+	    {"HTTP/1.1 999 \r\n\r\n", -1},
+	    {"HTTP/1.1 100 Continue\r\nA: b\r\n\r\nHTTP/1.1 204 x\r\n\r\n", 0},
+	    /* A trailer that looks like another head changes nothing. */
+	    {"HTTP/1.1 200 OK\r\nA: b\r\n\r\nHTTP/1.1 500: x\r\nC: d\r\n", 1},
+	};
+	struct answer_head h;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(
+		    read_answer(&h, cases[i].text), cases[i].headers);
+	CU_ASSERT_EQUAL(h.status, 200);
+	CU_ASSERT_TRUE(pb_is_router_header(pb_str_from("x-pb-Result")));
+	CU_ASSERT_TRUE(
+	    pb_is_router_header(pb_str_from("X-Poplarbeam-Outcome")));
+	CU_ASSERT_FALSE(pb_is_router_header(pb_str_from("X-Pbx")));
+}
+
+/* Guards against an age that overflows and a throttle that draws all work. */
+static void
+test_report(void)
+{
+	static const struct {
+		const char *text;
+		bool ok;
+	} cases[] = {{"{\"work\":5,\"age_ms\":7,\"throttle\":0.5}", true},
+	    {"{}", true}, {"[]", false}, {"", false}, {"{\"work\":-1}", false},
+	    {"{\"work\":\"5\"}", false},
+	    {"{\"age_ms\":9223372036854775807}", false},
+	    {"{\"throttle\":1e300}", false}, {"{\"throttle\":-1}", false}};
+	struct load_report r;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		CU_ASSERT_EQUAL(
+		    router_parse_report(pb_str_from(cases[i].text), &r),
+		    cases[i].ok);
+}
+
+/* Guards against an id or address that ends a header line or a URL. */
+static void
+test_instances(void)
+{
+	static const char text[] =
+	    "{\"instances\":["
+	    "{\"id\":\"e1\",\"role\":\"upstream\",\"state\":\"live\","
+	    "\"address\":\"h:1\"},"
+	    "{\"id\":\"e2\\r\\nX-Pb-Rank: 0\",\"role\":\"upstream\","
+	    "\"state\":\"live\",\"address\":\"h:1\"},"
+	    "{\"id\":\"e3\",\"role\":\"upstream\",\"state\":\"live\","
+	    "\"address\":\"h:1/ x\"}]}";
+	struct pb_instance *list;
+	size_t count;
+
+	CU_ASSERT_EQUAL(
+	    pb_parse_instances(ctx, "list", pb_str_from(text), &list, &count),
+	    PB_OK);
+	CU_ASSERT_EQUAL(count, 1);
+	CU_ASSERT_STRING_EQUAL(list[0].id, "e1");
+	free(list);
+}
+
+/* Guards against a stored outcome that breaks the answer when sent again. */
+static void
+test_claim_row(void)
+{
+	static const char *const fmt =
+	    "{\"state\":\"done\",\"attempt\":\"a\",\"fingerprint\":\"f\","
+	    "\"time\":%s,\"status\":%s,\"content_type\":\"%s\"}";
+	static const struct {
+		const char *time, *status, *type;
+		bool ok;
+	} cases[] = {{"1", "200", "text/plain", true},
+	    {"-9223372036854775807", "200", "", false}, {"1", "99", "", false},
+	    {"1", "4294967496", "", false},
+	    {"1", "200", "a\\r\\nSet-Cookie: b", false}};
+	struct pb_claim_record rec;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pb_buf buf = {0};
+
+		pb_append_fmt(
+		    &buf, fmt, cases[i].time, cases[i].status, cases[i].type);
+		CU_ASSERT_EQUAL(pb_decode_claim(&buf, &rec), cases[i].ok);
+		pb_clear_buf(&buf);
+	}
+}
+
+/* Guards against an end of the process on an empty settings file. */
+static void
+test_boot(void)
+{
+	struct pb_boot b;
+
+	CU_ASSERT_EQUAL(pb_parse_boot(ctx, "f", PB_STR_NONE, &b), PB_EINVAL);
+	CU_ASSERT_EQUAL(pb_parse_boot(ctx, "f",
+			    pb_str_from("instance: \"r1\\r\\nX: y\"\n"), &b),
+	    PB_EINVAL);
+	CU_ASSERT_PTR_NOT_NULL(strstr(ctx->error.text, "printable"));
+}
+
+int
+main(void)
+{
+	unsigned int failed;
+	CU_pSuite s;
+
+	ctx = pb_new_context(pb_system_clock(), NULL);
+	CU_initialize_registry();
+	s = CU_add_suite("hostile", NULL, NULL);
+	CU_add_test(s, "caller", test_caller);
+	CU_add_test(s, "long target", test_long_target);
+	CU_add_test(s, "relay", test_relay);
+	CU_add_test(s, "answer head", test_answer_head);
+	CU_add_test(s, "load report", test_report);
+	CU_add_test(s, "instances", test_instances);
+	CU_add_test(s, "claim row", test_claim_row);
+	CU_add_test(s, "boot", test_boot);
+	CU_basic_run_tests();
+	failed = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	pb_drop_context(ctx);
+	return failed != 0;
+}
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -19,6 +19,7 @@
 	const char **scripts; /* NULL entry: close without an answer */
 	int count;
 	_Atomic int requests;
+	_Atomic size_t received; /* bytes of the last request, up to 4 KiB */
 	bool keep; /* serve a second request on the first connection */
 	pthread_t thread;
 };
@@ -26,7 +27,7 @@
 static struct pb_context *ctx;
 
 static bool
-read_request(int fd)
+read_request(struct server *s, int fd)
 {
 	/* A kept connection that stays silent does not block the next one. */
 	struct timeval limit = {0, 300000};
@@ -35,7 +36,7 @@
 
 	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 	n = recv(fd, buf, sizeof(buf), 0);
-
+	s->received = n > 0 ? (size_t)n : 0;
 	return n > 0;
 }
 
@@ -47,7 +48,7 @@
 
 	while (i < s->count && (fd = accept(s->fd, NULL, NULL)) >= 0) {
 		do {
-			if (!read_request(fd))
+			if (!read_request(s, fd))
 				break;
 			s->requests++;
 			if (s->scripts[i] != NULL)
@@ -232,6 +233,67 @@
 	}
 }
 
+/*
+ * Guards against output that depends on where the input is split: a blank line
+ * right after an event.
+ */
+static void
+test_sse_blank(void)
+{
+	static const char stream[] = "data: a\n\n\r\n\ndata: b\n\n";
+	size_t cut;
+
+	for (cut = 1; cut < sizeof(stream) - 1; cut++) {
+		struct pb_sse sse = {0};
+		struct seen seen = {0};
+
+		pb_feed_sse(&sse, stream, cut, keep_event, &seen);
+		pb_feed_sse(&sse, stream + cut, sizeof(stream) - 1 - cut,
+		    keep_event, &seen);
+		CU_ASSERT_STRING_EQUAL(seen.text.data, stream);
+		pb_clear_buf(&seen.text);
+		pb_clear_sse(&sse);
+	}
+}
+
+/*
+ * Guards against a call that goes out with a header cut short, or with one
+ * that a peer reads as two.
+ */
+static void
+test_call_headers(void)
+{
+	const char *scripts[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+	struct pb_client *client = pb_new_client(ctx, 4);
+	struct pb_header h = {pb_str_from("X-A"), pb_str_from("b\r\nX-B: c")};
+	struct pb_call c = {.peer = "e1",
+	    .method = "GET",
+	    .target = "/x",
+	    .headers = &h,
+	    .header_count = 1,
+	    .connect_us = PB_SEC,
+	    .total_us = 5 * PB_SEC};
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	struct server s;
+	char value[3000];
+
+	start(&s, scripts, 1, false);
+	c.address = s.address;
+	pb_init_buffer_sink(&sink, 100);
+	CU_ASSERT_EQUAL(
+	    pb_call_http(ctx, client, &c, &sink.base, &res), PB_EINVAL);
+	CU_ASSERT_FALSE(res.sent);
+	CU_ASSERT_EQUAL(s.requests, 0);
+	memset(value, 'v', sizeof(value));
+	h.value = (struct pb_str){value, sizeof(value)};
+	CU_ASSERT_EQUAL(pb_call_http(ctx, client, &c, &sink.base, &res), PB_OK);
+	CU_ASSERT(s.received > sizeof(value));
+	stop(&s);
+	pb_drop_client(ctx, client);
+}
+
 /* Guards against a resume that repeats the event that broke. */
 static void
 test_sse_reset(void)
@@ -263,6 +325,8 @@
 	CU_add_test(s, "no resend", test_no_resend);
 	CU_add_test(s, "sse pieces", test_sse_pieces);
 	CU_add_test(s, "sse reset", test_sse_reset);
+	CU_add_test(s, "sse blank lines", test_sse_blank);
+	CU_add_test(s, "call headers", test_call_headers);
 	CU_basic_run_tests();
 	failed = CU_get_number_of_failures();
 	CU_cleanup_registry();
