--- a/include/poplarbeam/relay.h
+++ b/include/poplarbeam/relay.h
@@ -8,6 +8,9 @@
  * the cell over HTTP. What the cell must know travels in X-Pb headers.
  */
 
+/* Length that the upstream gave in its answer to HEAD. */
+#define PB_RELAY_LENGTH "X-Pb-Length"
+
 struct pb_relay_server;
 
 /*
--- a/source/caller/caller-answer.c
+++ b/source/caller/caller-answer.c
@@ -1,5 +1,7 @@
 #include "caller-internal.h"
 
+#include "poplarbeam/relay.h"
+
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,20 +18,35 @@
 	    strncasecmp(type.data, "text/event-stream", 17) == 0;
 }
 
+/*
+ * Only routers say what became of a request. A stream has no length, because
+ * a resumed one may be longer than its first part announced.
+ */
+static bool
+is_withheld(struct pb_str name, bool events)
+{
+	return pb_is_router_header(name) ||
+	    (events && name.len == 14 &&
+		strncasecmp(name.data, "Content-Length", 14) == 0);
+}
+
 static void
 keep_head(struct caller_sink *s, int status, const struct pb_header *headers,
-    size_t count)
+    size_t count, bool events)
 {
 	struct pb_arena *arena = s->entry->arena;
 	size_t i, n = 0;
 
 	s->status = status;
 	for (i = 0; i < count; i++) {
-		if (headers[i].name.len >= 5 &&
-		    strncasecmp(headers[i].name.data, "X-Pb-", 5) == 0)
+		struct pb_str name = headers[i].name;
+
+		if (s->answer.head_only &&
+		    pb_str_equal_c(name, PB_RELAY_LENGTH))
+			name = pb_str_from("Content-Length");
+		if (is_withheld(name, events))
 			continue;
-		s->headers[n].name = pb_arena_str(
-		    arena, headers[i].name.data, headers[i].name.len);
+		s->headers[n].name = pb_arena_str(arena, name.data, name.len);
 		s->headers[n].value = pb_arena_str(
 		    arena, headers[i].value.data, headers[i].value.len);
 		if (s->headers[n].name.data != NULL &&
@@ -48,7 +65,7 @@
 
 	if (s->mode == ANSWER_STREAM)
 		return events ? 0 : -1; /* resumed */
-	keep_head(s, status, headers, count);
+	keep_head(s, status, headers, count, events);
 	s->mode = events ? ANSWER_STREAM : ANSWER_BUFFER;
 	return 0;
 }
@@ -104,6 +121,7 @@
 	s->base.ops = &ops;
 	s->entry = entry;
 	s->answer.conn = entry->conn;
+	s->answer.head_only = strcmp(entry->req.method, "HEAD") == 0;
 	snprintf(
 	    s->extra, sizeof(s->extra), "X-Request-Id: %s\r\n", entry->req.id);
 }
--- a/source/server/server-http.c
+++ b/source/server/server-http.c
@@ -102,9 +102,8 @@
 
 	a->begun = true;
 	a->chunked = length.data == NULL && !empty;
-	a->left = length.data != NULL && !empty ?
-	    strtoull(length.data, NULL, 10) :
-	    0;
+	a->left =
+	    length.data != NULL && !empty ? strtoull(length.data, NULL, 10) : 0;
 	pb_append_fmt(&head, "HTTP/1.1 %d %s\r\n", status,
 	    mg_get_response_code_text(a->conn, status));
 	for (i = 0; i < count; i++) {
@@ -134,7 +133,12 @@
 	if (len == 0)
 		return a->broken ? -1 : 0;
 	if (!a->chunked) {
-		a->left -= len < a->left ? len : a->left;
+		/* The surplus would be read as the start of another answer. */
+		if (len > a->left) {
+			a->broken = true;
+			return -1;
+		}
+		a->left -= len;
 		return write_all(a, data, len) ? 0 : -1;
 	}
 	/* One write for the chunk, so that it leaves in one segment. */
--- a/standin/lib/serve.c
+++ b/standin/lib/serve.c
@@ -13,7 +13,7 @@
 	char count[16];
 	const char *options[] = {"listening_ports", address, "num_threads",
 	    count, "enable_keep_alive", "yes", "keep_alive_timeout_ms", "5000",
-	    "tcp_nodelay", "1", NULL};
+	    "tcp_nodelay", "1", "decode_url", "no", NULL};
 	struct mg_callbacks cb;
 	struct mg_context *mg;
 
