Know for certain whether a request was sent; never let libcurl resend

Cause: on a reused connection that breaks before the answer, libcurl connects again and sends the request a second time by itself. When the new connection is refused, the error reads "couldn't connect", which counted as "not sent": the caller was told "not run" about a GET that the application had begun.

Change: the client counts in libcurl's pre-request callback, which runs on reused connections too, that a request is about to go out, and refuses the second time. Ruled out: fresh connections for all calls (a handshake for each relay and each engine call), and CURLINFO_REQUEST_SIZE, which is reset by the second attempt.

--- a/source/upstream/upstream-client.c
+++ b/source/upstream/upstream-client.c
@@ -134,6 +134,7 @@
 	struct pb_call_result *result;
 	struct answer_head head;
 	bool idled;
+	int sends; /* times that the request was about to be sent */
 	int64_t last_us;
 };
 
@@ -176,6 +177,24 @@
 	return len;
 }
 
+/*
+ * Called when a connection stands and the request is about to be sent. When a
+ * reused connection breaks before the answer, libcurl would send the request
+ * again by itself, outside of the retry budget and without a trace of the
+ * first time; that is refused here.
+ */
+static int
+on_send(void *arg, char *remote, char *local, int remote_port, int local_port)
+{
+	struct transfer *t = arg;
+
+	(void)remote;
+	(void)local;
+	(void)remote_port;
+	(void)local_port;
+	return t->sends++ == 0 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 static int
 on_progress(
     void *arg, curl_off_t dt, curl_off_t dn, curl_off_t ut, curl_off_t un)
@@ -280,23 +299,13 @@
 	curl_easy_setopt(curl, CURLOPT_HEADERDATA, t);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, on_send);
+	curl_easy_setopt(curl, CURLOPT_PREREQDATA, t);
 	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
 	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
 	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, t);
 }
 
-/* True when a byte of the request may have left this process. */
-static bool
-was_sent(CURL *curl, CURLcode rc)
-{
-	curl_off_t pre = 0;
-
-	if (rc == CURLE_COULDNT_CONNECT || rc == CURLE_COULDNT_RESOLVE_HOST)
-		return false;
-	curl_easy_getinfo(curl, CURLINFO_PRETRANSFER_TIME_T, &pre);
-	return pre > 0;
-}
-
 static bool
 has_body(const struct transfer *t)
 {
@@ -307,12 +316,12 @@
 }
 
 static int
-conclude(struct transfer *t, CURL *curl, CURLcode rc)
+conclude(struct transfer *t, CURLcode rc)
 {
 	struct pb_call_result *r = t->result;
 	const char *peer = t->call->peer;
 
-	r->sent = was_sent(curl, rc);
+	r->sent = t->sends > 0;
 	if (rc == CURLE_OK && (t->head.framed || !has_body(t))) {
 		r->complete = true;
 		return PB_OK;
@@ -373,7 +382,7 @@
 	set_method(curl, call);
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	rc = curl_easy_perform(curl);
-	code = conclude(&t, curl, rc);
+	code = conclude(&t, rc);
 done:
 	curl_slist_free_all(headers);
 	pb_drop_arena(ctx, t.head.arena);
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -180,17 +180,45 @@
 }
 
 /*
- * Guards against a second run: libcurl sends a request again when a reused
- * connection breaks before the answer, here the second of two. A call on a
- * fresh connection must be sent once.
+ * Guards against a second run: libcurl by itself sends a request again when a
+ * reused connection breaks before the answer, here the second of two, and the
+ * third script would answer it. A call must be sent once, on a fresh
+ * connection and on a reused one.
  */
 static void
 test_no_resend(void)
 {
-	CU_ASSERT_EQUAL(count_requests(false), 3);
+	CU_ASSERT_EQUAL(count_requests(false), 2);
 	CU_ASSERT_EQUAL(count_requests(true), 2);
 }
 
+/*
+ * Guards against "not sent" said of a request that went out on a reused
+ * connection, which broke, when a new connection is refused.
+ */
+static void
+test_sent_on_reused(void)
+{
+	const char *scripts[] = {
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", NULL};
+	struct pb_client *client = pb_new_client(ctx, 4);
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	struct server s;
+
+	start(&s, scripts, 2, true);
+	CU_ASSERT_EQUAL(call(client, s.address, false, &sink, &res), PB_OK);
+	pb_clear_buf(&sink.body);
+	/* No further connection is taken. */
+	close(s.fd);
+	CU_ASSERT_EQUAL(
+	    call(client, s.address, false, &sink, &res), PB_EUNKNOWN);
+	CU_ASSERT_TRUE(res.sent);
+	pb_clear_buf(&sink.body);
+	pthread_join(s.thread, NULL);
+	pb_drop_client(ctx, client);
+}
+
 struct seen {
 	struct pb_buf text;
 	int calls;
@@ -323,6 +351,7 @@
 	CU_add_test(s, "truncated", test_truncated);
 	CU_add_test(s, "sent", test_sent);
 	CU_add_test(s, "no resend", test_no_resend);
+	CU_add_test(s, "sent on reused", test_sent_on_reused);
 	CU_add_test(s, "sse pieces", test_sse_pieces);
 	CU_add_test(s, "sse reset", test_sse_reset);
 	CU_add_test(s, "sse blank lines", test_sse_blank);
