Measure decisions and real processes by script

docs/measurements was named by the README and did not exist. `make measure` reruns the decision measurements and plots them; `make measure-fleet` starts a fleet on loopback and measures added latency, memory, processor time, control traffic and service by rank; `make slopes` varies the size of the fleet.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 #   make VARIANT=asan|tsan   the same under sanitizers in build/asan, build/tsan
 #   make demo        main job: stand-ins, three routers, a chat and an order
 #   make check       every test
+#   make measure, make measure-fleet, make slopes   pages in docs/measurements
 
 VARIANT ?= release
 B := build/$(VARIANT)
@@ -69,6 +70,16 @@
 check: deps
 	scripts/check
 
+# Decision measurements with fixed seeds, and measurements of real processes.
+measure: all
+	scripts/measure
+
+measure-fleet: all
+	scripts/measure-fleet
+
+slopes: all
+	scripts/slopes
+
 lint:
 	scripts/lint
 
@@ -78,7 +89,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all deps demo check lint format clean
+.PHONY: all deps demo check measure measure-fleet slopes lint format clean
 .SECONDARY:
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,13 +4,16 @@
 
 FLEET_BIN=${FLEET_BIN:-build/release}
 
+FLEET_SPAN=${FLEET_SPAN:-300} # ports of a fleet
+
 # A block of loopback ports below the ephemeral range that nothing listens on.
 free_ports() {
-	local base
+	local base span=$FLEET_SPAN
 	while :; do
-		base=$((15000 + RANDOM % 50 * 300))
-		ss -Hltun | awk -v b=$base '{n = $5; sub(/.*:/, "", n)
-		    if (n >= b && n < b + 300) used = 1} END {exit used}' && break
+		base=$((15000 + RANDOM % (15000 / span) * span))
+		ss -Hltun | awk -v b=$base -v s="$span" '{n = $5
+		    sub(/.*:/, "", n)
+		    if (n >= b && n < b + s) used = 1} END {exit used}' && break
 	done
 	echo $base
 }
