--- a/scripts/measure-lib.sh
+++ b/scripts/measure-lib.sh
@@ -1,7 +1,7 @@
 # Shell functions shared by the measurements with real processes. To be
 # sourced by bash from the repository's root.
 
-. tests/scripts/fleet-lib.sh
+. tests/lib/fleet-lib.sh
 
 # write_settings FILE CAPACITY ACCOUNTS: a team with one chat service, one
 # plain service and accounts k1, k2, ... whose keys are "measure-key-N".
