Keep a request that crashes engines at its owner router

A run with 5 engines, 3 routers and a request that crashes its engine showed 4 engines crashed by one request, 3 of them within 60 ms; the containment allows 2. Cause: when the entry router itself owned the cell, the broken answer of the upstream was taken for a failure of the owner, and the retry went to the next router in order. That router has no strike of the request, so that its first crash there counted as the first one again.

- caller-run.c: this router is not noted as a failed owner unless it declined.
- relay-client.c: an answer that the owner breaks off, because its upstream broke, is no longer evidence that the router does not run.
Two such answers counted as two refusals and made the owner router down, which moved its cells away.
It is a suspicion now; a refused connection still counts as a refusal.

Ruled out: digests of contained fingerprints are too slow for this, the retries are 30 ms apart.

The engine stand-in can now state in its load report that it is leaving while it still takes work, so that a test sees work that a router sends it.

--- a/source/caller/caller-run.c
+++ b/source/caller/caller-run.c
@@ -83,6 +83,12 @@
 
 	if (run->complete && !declined)
 		return;
+	/*
+	 * This router did not fail as the owner: its upstream did. Another
+	 * router would run the request without the strikes that it has here.
+	 */
+	if (!declined && asked->id_hash == a->entry->server->node->id_hash)
+		return;
 	if (run->sink_stopped || (run->kind == PB_RUN_NOT_RUN && !declined))
 		return;
 	pb_copy_str(a->failed_owner, sizeof(a->failed_owner), asked->info.id);
--- a/source/relay/relay-client.c
+++ b/source/relay/relay-client.c
@@ -178,11 +178,16 @@
 	result->sink_stopped = res.sink_stopped;
 	if (rc != PB_OK) {
 		pb_log_error(ctx, PB_WARN, req->id);
+		/*
+		 * The owner also breaks off an answer when its upstream did, so
+		 * that this alone makes it a suspect. A refused connection
+		 * shows that it does not run.
+		 */
 		if (!res.sink_stopped)
 			pb_tell_evidence(ctx, node, owner->id_hash,
 			    owner->info.incarnation,
-			    rc == PB_ETIMEDOUT ? PB_SAW_TIMEOUT
-					       : PB_SAW_REFUSAL);
+			    rc == PB_EUNAVAIL ? PB_SAW_REFUSAL
+					      : PB_SAW_TIMEOUT);
 		if (!sink.answered)
 			judge_failure(ctx, result, res.sent);
 	}
--- a/standin/pb-engine.c
+++ b/standin/pb-engine.c
@@ -43,6 +43,7 @@
 	uint64_t work;
 	double throttle;
 	bool leaving;
+	bool says_leaving; /* in the load report only; work is still taken */
 	int64_t token_us;
 	double prefill_rate; /* prompt tokens per second */
 	int64_t lag_us;
@@ -405,13 +406,13 @@
 	    (json_int_t)e->report_work, "capacity", e->places, "throttle",
 	    e->throttle, "age_ms",
 	    (json_int_t)((serve_now() - e->report_us) / PB_MSEC), "leaving",
-	    (int)e->leaving, "started", (json_int_t)e->started, "max_running",
-	    (json_int_t)e->max_running);
+	    (int)(e->leaving || e->says_leaving), "started",
+	    (json_int_t)e->started, "max_running", (json_int_t)e->max_running);
 	pthread_mutex_unlock(&e->lock);
 	return serve_json(conn, 200, v);
 }
 
-/* POST /control/state {"leaving":bool,"throttle":number} */
+/* POST /control/state {"leaving":bool,"says_leaving":bool,"throttle":number} */
 static int
 handle_control(struct engine *e, struct mg_connection *conn)
 {
@@ -421,6 +422,8 @@
 	pthread_mutex_lock(&e->lock);
 	if ((v = json_object_get(body, "leaving")) != NULL)
 		e->leaving = json_is_true(v);
+	if ((v = json_object_get(body, "says_leaving")) != NULL)
+		e->says_leaving = json_is_true(v);
 	if ((v = json_object_get(body, "throttle")) != NULL)
 		e->throttle = json_number_value(v);
 	pthread_mutex_unlock(&e->lock);
--- a/tests/lib/fleet-lib.sh
+++ b/tests/lib/fleet-lib.sh
@@ -154,6 +154,66 @@
 	done
 }
 
+# begin_load NAME SECONDS RATE ROUTERS OPTION...: pb-load in the background,
+# through these routers ("1 2 3"), with the seed in SEED.
+begin_load() {
+	local name=$1 seconds=$2 rate=$3 routers=$4 n
+	shift 4
+	for n in $routers; do
+		set -- --router "127.0.0.1:$(caller_port "$n")" "$@"
+	done
+	"$FLEET_BIN/pb-load" --json --rank urgent --account "$key" --verbose \
+	    --seed "${SEED:-1}" --duration "$seconds" --rate "$rate" "$@" \
+	    >"$FLEET_DIR/load-$name" 2>"$FLEET_DIR/load-$name.log" </dev/null &
+	echo $! >"$FLEET_DIR/load-$name.pid"
+	FLEET_PIDS="$FLEET_PIDS $!"
+}
+
+end_load() { await 60 gone "load-$1"; }
+
+# loaded NAME FILTER: a part of the result of a load.
+loaded() { jq -r "$2" "$FLEET_DIR/load-$1"; }
+
+# judge_load NAME LEAST: the outcomes that must not occur, and whether at least
+# LEAST requests were sent.
+judge_load() {
+	end_load "$1"
+	note "load $1: $(loaded "$1" 'del(.ranks)|tostring')"
+	[ "$(loaded "$1" .sent)" -ge "$2" ] || echo "too few requests"
+	loaded "$1" '[.wrong_byte, .short_shown_complete, .ran_twice, .not_run,
+	    .outcome_unknown, .transport_error + .rejected]|
+	    "\(.[0]) wrong, \(.[1]) short, \(.[2]) ran twice, " +
+	    "\(.[3]) not run, \(.[4]) unknown, \(.[5]) other"'
+}
+
+# started N: requests that engine N has begun since its start.
+started() {
+	curl -sf -m 2 "http://127.0.0.1:$(engine_port "$1")/v1/load" |
+	    jq .started
+}
+
+# has_started N COUNT: engine N has begun more requests than COUNT.
+has_started() { [ "$(started "$1")" -gt "$2" ]; }
+
+# control N JSON: changes the state of engine N.
+control() {
+	curl -sf -m 5 -o /dev/null -d "$2" \
+	    "http://127.0.0.1:$(engine_port "$1")/control/state"
+}
+
+# listed_state ID: what the platform's list says of an instance.
+listed_state() {
+	curl -sf -m 5 "$platform_url/instances/v1" |
+	    jq -r --arg i "$1" '.instances[]|select(.id==$i)|.state'
+}
+
+# list_leaving N: tells the platform that engine N is leaving.
+list_leaving() {
+	register "e$1" "$(curl -sf -m 5 "$platform_url/instances/v1" |
+	    jq -c --arg i "e$1" \
+	    '.instances[]|select(.id==$i)|.state="leaving"')"
+}
+
 # owner_of SERVICE: number of the router that owns the service's cell 0.
 owner_of() {
 	local n
