Send orders to engines under a lease, from the routers

Change: an HTTP port for PUT and GET /v1/orders/{name}; a service's settings take "orders" and "fencing"; two router threads, one for the leases and one that reads back and sends. Per service and region, the three routers that rank highest for cell 0 ask for the lease. A pass is due at once when the lease, the orders or the set of upstreams changed, and otherwise as half of the control budget allows. The head revision is read before a pass, so that a new holder with older settings does not undo a newer state. Events "lease-taken", "lease-ended" and "ordered", two counters and a gauge. Ruled out: one thread for both, because a few hanging engines would cost the lease; one lease for all regions, because a region that is cut off would get no orders; sending over reused connections, because libcurl may resend an order after the lease was checked; a check for "fence" at engines that ignore it.

--- a/include/poplarbeam/lease.h
+++ b/include/poplarbeam/lease.h
@@ -86,7 +86,7 @@
 
 /* One order: the state that an upstream should be in. Borrowed. */
 struct pb_order {
-	const char *upstream; /* address */
+	const char *upstream; /* as the port names it */
 	const char *name;
 	struct pb_str desired; /* JSON text */
 };
--- a/include/poplarbeam/metrics.h
+++ b/include/poplarbeam/metrics.h
@@ -25,6 +25,8 @@
 	PB_COUNT_CONTROL_SENT, /* bytes */
 	PB_COUNT_CONTROL_RECEIVED, /* bytes */
 	PB_COUNT_SETTINGS_APPLIED,
+	PB_COUNT_ORDERS_SENT,
+	PB_COUNT_LEASES_TAKEN,
 	PB_COUNTER_END
 };
 
@@ -34,6 +36,7 @@
 	PB_GAUGE_REVISION,
 	PB_GAUGE_MEMBERS,
 	PB_GAUGE_CELLS,
+	PB_GAUGE_LEASES_SOUGHT, /* leases that this instance asks for */
 	PB_GAUGE_END
 };
 
--- a/include/poplarbeam/settings.h
+++ b/include/poplarbeam/settings.h
@@ -19,6 +19,14 @@
 	PB_SERVICE_PLAIN /* any HTTP call, by path prefix */
 };
 
+#define PB_ORDERS_MAX 4 /* orders of one service */
+
+/* A state that every upstream of the service should be in. */
+struct pb_service_order {
+	char name[48];
+	char desired[256]; /* JSON object, compact, keys sorted */
+};
+
 struct pb_service {
 	char name[48];
 	char team[48];
@@ -41,6 +49,9 @@
 	uint64_t queue_bytes;
 	bool resume; /* upstream can resume streams */
 	double eject_share; /* largest share of upstreams ejected */
+	bool fencing; /* upstreams refuse an old fencing number */
+	int order_count;
+	struct pb_service_order orders[PB_ORDERS_MAX];
 };
 
 struct pb_account {
--- a/include/poplarbeam/upstream.h
+++ b/include/poplarbeam/upstream.h
@@ -94,4 +94,15 @@
 
 void pb_init_buffer_sink(struct pb_buffer_sink *sink, size_t limit);
 
+struct pb_orders;
+
+/*
+ * Port of lease.h to the orders of upstreams at /v1/orders/{name}; an upstream
+ * is given by its address. The client is borrowed; timeout for one call.
+ * fencing: the upstreams refuse an old fencing number. Thread safe.
+ */
+struct pb_orders *pb_new_http_orders(struct pb_context *ctx,
+    struct pb_client *client, int64_t timeout_us, bool fencing);
+void pb_drop_http_orders(struct pb_context *ctx, struct pb_orders *port);
+
 #endif
--- a/source/metrics/metrics-counters.c
+++ b/source/metrics/metrics-counters.c
@@ -30,6 +30,8 @@
     [PB_COUNT_CONTROL_SENT] = "control_sent_bytes_total",
     [PB_COUNT_CONTROL_RECEIVED] = "control_received_bytes_total",
     [PB_COUNT_SETTINGS_APPLIED] = "settings_applied_total",
+    [PB_COUNT_ORDERS_SENT] = "orders_sent_total",
+    [PB_COUNT_LEASES_TAKEN] = "leases_taken_total",
 };
 
 static const char *const gauge_names[PB_GAUGE_END] = {
@@ -38,6 +40,7 @@
     [PB_GAUGE_REVISION] = "settings_revision",
     [PB_GAUGE_MEMBERS] = "members",
     [PB_GAUGE_CELLS] = "cells_owned",
+    [PB_GAUGE_LEASES_SOUGHT] = "leases_sought",
 };
 
 struct pb_metrics *
--- a/source/router/router-internal.h
+++ b/source/router/router-internal.h
@@ -20,9 +20,13 @@
 	THREAD_PROBE,
 	THREAD_DIGEST,
 	THREAD_CLAIMS,
+	THREAD_LEASES,
+	THREAD_ORDERS,
 	THREAD_COUNT
 };
 
+struct order_job;
+
 struct pb_router {
 	struct pb_node *node;
 	struct pb_owner *owner;
@@ -46,6 +50,9 @@
 	uint64_t asked_again; /* failed peer that was asked a second time */
 	struct pb_peer_counts control; /* bytes of control traffic */
 
+	pthread_mutex_t orders_lock;
+	struct order_job *order_jobs; /* of the lease thread */
+
 	struct pb_relay_server *relay_server;
 	struct pb_caller_server *caller_server;
 	struct mg_context *admin_server;
@@ -98,6 +105,12 @@
 /* Records what is left; returns how many outcomes could not be recorded. */
 size_t router_repair_claims(struct pb_context *ctx, struct pb_router *r);
 
+/* Orders to upstreams: leases, and passes over the upstreams. */
+void *router_run_leases(void *arg);
+void *router_run_orders(void *arg);
+/* Gives the leases up, after the threads ended. */
+void router_drop_orders(struct pb_context *ctx, struct pb_router *r);
+
 /* Operators' HTTP surface. */
 int router_start_admin(struct pb_context *ctx, struct pb_router *r);
 
--- a/source/router/router-start.c
+++ b/source/router/router-start.c
@@ -64,6 +64,8 @@
 	    [THREAD_PROBE] = router_run_probe,
 	    [THREAD_DIGEST] = router_run_digest,
 	    [THREAD_CLAIMS] = router_run_claims,
+	    [THREAD_LEASES] = router_run_leases,
+	    [THREAD_ORDERS] = router_run_orders,
 	};
 	int i;
 
@@ -84,6 +86,7 @@
 	if (r == NULL)
 		return NULL;
 	mg_init_library(0);
+	pthread_mutex_init(&r->orders_lock, NULL);
 	r->node = pb_new_node(ctx, boot);
 	if (r->node == NULL)
 		goto fail;
@@ -174,6 +177,7 @@
 		pthread_cond_broadcast(&r->settings_kick);
 		pthread_join(r->threads[i], NULL);
 	}
+	router_drop_orders(ctx, r);
 	pb_drop_caller_server(ctx, r->caller_server);
 	pb_drop_relay_server(ctx, r->relay_server);
 	if (r->admin_server != NULL)
--- /dev/null
+++ b/source/settings/settings-orders.c
@@ -0,0 +1,134 @@
+#include "settings-private.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Values of "desired": maps and lists as such, scalars as JSON strings. */
+static json_t *
+to_json(const struct pb_node *node)
+{
+	const struct pb_node *n;
+	json_t *v;
+
+	if (node->kind == PB_NODE_SCALAR)
+		return json_stringn(node->text.data, node->text.len);
+	v = node->kind == PB_NODE_MAP ? json_object() : json_array();
+	for (n = node->first; n != NULL && v != NULL; n = n->next) {
+		bool ok = node->kind == PB_NODE_LIST
+		    ? json_array_append_new(v, to_json(n)) == 0
+		    : json_object_get(v, n->key.data) == NULL &&
+			json_object_set_new(v, n->key.data, to_json(n)) == 0;
+
+		if (!ok) {
+			json_decref(v);
+			v = NULL;
+		}
+	}
+	return v;
+}
+
+static void
+check_desired(struct pb_check *c, const struct pb_node *node, const char *path,
+    struct pb_service_order *order)
+{
+	json_t *v = NULL, *again = NULL;
+	char *text = NULL;
+
+	if (node->kind == PB_NODE_MAP && node->first != NULL)
+		v = to_json(node);
+	if (v != NULL)
+		text = json_dumps(v, JSON_COMPACT | JSON_SORT_KEYS);
+	/* Upstreams answer with this value; it must be readable again. */
+	if (text != NULL)
+		again = json_loads(text, 0, NULL);
+	if (again == NULL || strlen(text) >= sizeof(order->desired))
+		pb_report_fault(c, node->line, path,
+		    "expected a map of unique keys that is not empty and has "
+		    "at most %zu bytes as JSON",
+		    sizeof(order->desired) - 1);
+	else
+		pb_copy_str(order->desired, sizeof(order->desired), text);
+	json_decref(again);
+	free(text);
+	json_decref(v);
+}
+
+static void
+check_order(struct pb_check *c, const struct pb_node *node, const char *path,
+    struct pb_service *v)
+{
+	static const struct pb_field fields[] = {
+	    {"name", PB_FIELD_NAME, offsetof(struct pb_service_order, name), 0,
+		0},
+	    {"desired", PB_FIELD_NODE, 0, 0, 0}};
+	struct pb_service_order *order = &v->orders[v->order_count];
+	const struct pb_node *found[2];
+	char sub[128];
+	int i;
+
+	memset(order, 0, sizeof(*order));
+	if (!pb_read_fields(c, node, path, fields, 2, order, found))
+		return;
+	if (found[0] == NULL || found[1] == NULL) {
+		pb_report_fault(c, node->line, path,
+		    "an order needs a name and a desired state");
+		return;
+	}
+	snprintf(sub, sizeof(sub), "%s.desired", path);
+	check_desired(c, found[1], sub, order);
+	for (i = 0; i < v->order_count; i++)
+		if (strcmp(v->orders[i].name, order->name) == 0)
+			pb_report_fault(c, node->line, path,
+			    "the service has two orders named \"%s\"",
+			    order->name);
+	v->order_count++;
+}
+
+static void
+check_fencing(struct pb_check *c, const struct pb_node *node, const char *path,
+    struct pb_service *v)
+{
+	char sub[96];
+
+	v->fencing = !pb_str_equal_c(node->text, "ignored");
+	if (!v->fencing || pb_str_equal_c(node->text, "refused"))
+		return;
+	snprintf(sub, sizeof(sub), "%s.fencing", path);
+	pb_report_fault(c, node->line, sub,
+	    "expected \"refused\" or \"ignored\", found \"%s\"",
+	    pb_show_text(node->text).text);
+}
+
+void
+pb_check_orders(struct pb_check *c, const struct pb_node *orders,
+    const struct pb_node *fencing, const char *path, struct pb_service *v)
+{
+	const struct pb_node *n;
+	char sub[96];
+	int i = 0;
+
+	v->fencing = true;
+	v->order_count = 0;
+	if (fencing != NULL)
+		check_fencing(c, fencing, path, v);
+	if (orders == NULL)
+		return;
+	snprintf(sub, sizeof(sub), "%s.orders", path);
+	if (v->kind != PB_SERVICE_MODEL) {
+		pb_report_fault(c, orders->line, sub,
+		    "only services of kind \"model\" take orders");
+		return;
+	}
+	if (!pb_check_list(c, orders, sub))
+		return;
+	for (n = orders->first; n != NULL; n = n->next) {
+		if (v->order_count == PB_ORDERS_MAX) {
+			pb_report_fault(c, n->line, sub,
+			    "expected at most %d orders", PB_ORDERS_MAX);
+			return;
+		}
+		snprintf(sub, sizeof(sub), "%s.orders[%d]", path, i++);
+		check_order(c, n, sub, v);
+	}
+}
--- a/source/settings/settings-private.h
+++ b/source/settings/settings-private.h
@@ -118,6 +118,9 @@
 
 void pb_set_fleet_defaults(struct pb_check *c);
 void pb_check_fleet(struct pb_check *c, const struct pb_node *root);
+/* Orders and fencing of a service; the nodes may be NULL. */
+void pb_check_orders(struct pb_check *c, const struct pb_node *orders,
+    const struct pb_node *fencing, const char *path, struct pb_service *v);
 void pb_check_team(struct pb_check *c, const struct pb_node *root);
 /* Reads defaults.service and defaults.account. */
 void pb_check_defaults(
--- a/source/settings/settings-team.c
+++ b/source/settings/settings-team.c
@@ -15,10 +15,11 @@
 #define SERVICE(field) offsetof(struct pb_service, field)
 #define ACCOUNT(field) offsetof(struct pb_account, field)
 
-/* The first three are not allowed in defaults.service. */
+/* The first five are not allowed in defaults.service. */
 static const struct pb_field service_fields[] = {
     {"name", PB_FIELD_NAME, SERVICE(name), 0, 0},
     {"kind", PB_FIELD_NODE, 0, 0, 0}, {"prefix", PB_FIELD_NODE, 0, 0, 0},
+    {"orders", PB_FIELD_NODE, 0, 0, 0}, {"fencing", PB_FIELD_NODE, 0, 0, 0},
     {"cells", PB_FIELD_INT, SERVICE(cells), 1, 4096},
     {"upstreams", PB_FIELD_INT, SERVICE(upstreams), 1, 65536},
     {"bound", PB_FIELD_NUMBER, SERVICE(bound), 1.05, 10},
@@ -43,10 +44,12 @@
 	SERVICE_NAME,
 	SERVICE_KIND,
 	SERVICE_PREFIX,
+	SERVICE_ORDERS,
+	SERVICE_FENCING,
 	SERVICE_CELLS,
-	SERVICE_BOUND = 5,
-	SERVICE_INNER = 6,
-	SERVICE_RESUME = 18
+	SERVICE_BOUND = 7,
+	SERVICE_INNER = 8,
+	SERVICE_RESUME = 20
 };
 
 /* The first three are not allowed in defaults.account. */
@@ -67,7 +70,9 @@
 	ACCOUNT_LIMITS = 6
 };
 
-#define NO_DEFAULT 3 /* fields that only a single item may have */
+/* Fields that only a single item may have. */
+#define SERVICE_SINGLE 5
+#define ACCOUNT_SINGLE 3
 
 static void
 join_path(char *dst, size_t cap, const char *path, const char *key)
@@ -176,6 +181,8 @@
 	check_kind(c, found[SERVICE_KIND], path, v);
 	check_prefix(c, found[SERVICE_PREFIX], node->line, path, v);
 	check_bound(c, node, found[SERVICE_INNER], path, v);
+	pb_check_orders(
+	    c, found[SERVICE_ORDERS], found[SERVICE_FENCING], path, v);
 	if (v->kind == PB_SERVICE_PLAIN && found[SERVICE_RESUME] != NULL &&
 	    v->resume) {
 		join_path(sub, sizeof(sub), path, "resume");
@@ -358,20 +365,22 @@
 		return;
 	if (group[0] != NULL &&
 	    pb_read_fields(c, group[0], "defaults.service",
-		service_fields + NO_DEFAULT, COUNT(service_fields) - NO_DEFAULT,
-		v, found)) {
+		service_fields + SERVICE_SINGLE,
+		COUNT(service_fields) - SERVICE_SINGLE, v, found)) {
 		in = found;
-		c->inner_limit_default = in[SERVICE_INNER - NO_DEFAULT] != NULL;
-		check_bound(c, group[0], in[SERVICE_INNER - NO_DEFAULT],
+		c->inner_limit_default =
+		    in[SERVICE_INNER - SERVICE_SINGLE] != NULL;
+		check_bound(c, group[0], in[SERVICE_INNER - SERVICE_SINGLE],
 		    "defaults.service", v);
 	}
 	if (group[1] == NULL)
 		return;
-	for (i = 0; i < NO_DEFAULT; i++)
+	for (i = 0; i < ACCOUNT_SINGLE; i++)
 		found[i] = NULL;
 	if (!pb_read_fields(c, group[1], "defaults.account",
-		account_fields + NO_DEFAULT, COUNT(account_fields) - NO_DEFAULT,
-		a, found + NO_DEFAULT))
+		account_fields + ACCOUNT_SINGLE,
+		COUNT(account_fields) - ACCOUNT_SINGLE, a,
+		found + ACCOUNT_SINGLE))
 		return;
 	check_ranks(c, found, "defaults.account", a);
 	if (found[ACCOUNT_LIMITS] != NULL) {
--- a/standin/pb-engine.c
+++ b/standin/pb-engine.c
@@ -5,6 +5,7 @@
  */
 #include "answer.h"
 #include "engine-cache.h"
+#include "engine-orders.h"
 #include "serve.h"
 
 #include <argtable2.h>
@@ -47,6 +48,7 @@
 	double prefill_rate; /* prompt tokens per second */
 	int64_t lag_us;
 	struct engine_cache *cache;
+	struct engine_orders *orders;
 	struct stream streams[STREAMS_MAX];
 	/* Load as it was at the last report. */
 	int64_t report_us;
@@ -411,7 +413,7 @@
 	return serve_json(conn, 200, v);
 }
 
-/* POST /control/state {"leaving":bool,"throttle":number} */
+/* POST /control/state {"leaving":bool,"throttle":number,"hold_orders":N} */
 static int
 handle_control(struct engine *e, struct mg_connection *conn)
 {
@@ -424,6 +426,8 @@
 	if ((v = json_object_get(body, "throttle")) != NULL)
 		e->throttle = json_number_value(v);
 	pthread_mutex_unlock(&e->lock);
+	if ((v = json_object_get(body, "hold_orders")) != NULL)
+		engine_orders_hold(e->orders, (int)json_integer_value(v));
 	json_decref(body);
 	return serve_json(conn, 200, json_object());
 }
@@ -443,6 +447,10 @@
 		return handle_load(e, conn);
 	if (strcmp(uri, "/control/state") == 0)
 		return handle_control(e, conn);
+	if (strcmp(uri, "/control/orders") == 0)
+		return engine_orders_counts(e->orders, conn);
+	if (strncmp(uri, "/v1/orders/", 11) == 0)
+		return engine_orders_serve(e->orders, conn, uri + 11);
 	if (sscanf(uri, "/v1/streams/%39[^/]%n", request, &end) == 1) {
 		if (strcmp(uri + end, "/resume") == 0)
 			return handle_resume(e, conn, request);
@@ -489,8 +497,11 @@
 	    arg_int0(NULL, "cache", "BYTES", "prefix cache, 1000000");
 	struct arg_int *lag =
 	    arg_int0(NULL, "lag-ms", "MS", "age of load reports, 500");
+	struct arg_str *fencing = arg_str0(NULL, "fencing", "refused|ignored",
+	    "orders with an old number, refused");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {id, listen, places, token, prefill, cache, lag, end};
+	void *table[] = {
+	    id, listen, places, token, prefill, cache, lag, fencing, end};
 	struct engine *e = calloc(1, sizeof(*e));
 
 	if (arg_parse(argc, argv, table) > 0 || e == NULL) {
@@ -510,7 +521,10 @@
 	e->throttle = 1;
 	e->cache =
 	    engine_cache_new(cache->count ? (size_t)cache->ival[0] : 1000000);
+	e->orders = engine_orders_new(
+	    fencing->count == 0 || strcmp(fencing->sval[0], "ignored") != 0);
 	run_engine(e, listen->sval[0]);
+	engine_orders_drop(e->orders);
 	engine_cache_drop(e->cache);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	free(e);
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -126,6 +126,88 @@
 	pb_clear_report(&report);
 }
 
+static int
+count_order_faults(const char *service)
+{
+	struct pb_settings_report report;
+	struct pb_settings *s;
+	char text[800];
+	int faults;
+
+	snprintf(text, sizeof(text), "services:\n  - {name: x, %s}\n", service);
+	s = parse(NULL, text, NULL, &report);
+	faults = report.count;
+	CU_ASSERT_EQUAL(s == NULL, faults > 0);
+	pb_drop_settings(ctx, s);
+	pb_clear_report(&report);
+	return faults;
+}
+
+/* Guards against an order that upstreams would get in another form. */
+static void
+test_orders(void)
+{
+	struct pb_settings_report report;
+	struct pb_settings *s = parse(NULL,
+	    "services:\n"
+	    "  - name: x\n"
+	    "    fencing: ignored\n"
+	    "    orders:\n"
+	    "      - {name: adapter, desired: {b: [1, 'two'], a: {c: true}}}\n"
+	    "      - {name: role, desired: {role: prefill}}\n"
+	    "  - {name: y}\n",
+	    NULL, &report);
+	const struct pb_service *v;
+
+	REQUIRE(s);
+	v = pb_find_service(s, "x");
+	CU_ASSERT_FALSE(v->fencing);
+	CU_ASSERT_EQUAL(v->order_count, 2);
+	CU_ASSERT_STRING_EQUAL(v->orders[0].desired,
+	    "{\"a\":{\"c\":\"true\"},\"b\":[\"1\",\"two\"]}");
+	CU_ASSERT_STRING_EQUAL(v->orders[1].name, "role");
+	v = pb_find_service(s, "y");
+	CU_ASSERT_TRUE(v->fencing);
+	CU_ASSERT_EQUAL(v->order_count, 0);
+	pb_drop_settings(ctx, s);
+	pb_clear_report(&report);
+}
+
+/* Guards against orders that are accepted and can never be in state. */
+static void
+test_order_faults(void)
+{
+	char longer[400];
+
+	CU_ASSERT_EQUAL(count_order_faults("fencing: refused"), 0);
+	CU_ASSERT_EQUAL(count_order_faults("fencing: no"), 1);
+	CU_ASSERT_EQUAL(count_order_faults("orders: [{name: a}]"), 1);
+	CU_ASSERT_EQUAL(count_order_faults("orders: {name: a}"), 1);
+	CU_ASSERT_EQUAL(
+	    count_order_faults("orders: [{name: a, desired: {}}]"), 1);
+	CU_ASSERT_EQUAL(
+	    count_order_faults("orders: [{name: a, desired: b}]"), 1);
+	CU_ASSERT_EQUAL(
+	    count_order_faults("orders: [{name: a, desired: {b: c, b: d}}]"),
+	    1);
+	CU_ASSERT_EQUAL(
+	    count_order_faults("orders: [{name: a, desired: {b: \"\\0\"}}]"),
+	    1);
+	CU_ASSERT_EQUAL(count_order_faults("orders: [{name: a, desired: {b: c}}"
+					   ", {name: a, desired: {b: d}}]"),
+	    1);
+	CU_ASSERT_EQUAL(
+	    count_order_faults("kind: plain, prefix: /x, "
+			       "orders: [{name: a, desired: {b: c}}]"),
+	    1);
+	snprintf(longer, sizeof(longer),
+	    "orders: [{name: a, desired: {b: %0247d}}]", 0);
+	CU_ASSERT_EQUAL(count_order_faults(longer), 0);
+	snprintf(longer, sizeof(longer),
+	    "orders: [{name: a, desired: {b: %0248d}}]", 0);
+	CU_ASSERT_EQUAL(count_order_faults(longer), 1);
+}
+
 /* Guards against a caller that is taken for another account. */
 static void
 test_keys(void)
@@ -401,6 +483,8 @@
 	s = CU_add_suite("settings", NULL, NULL);
 	CU_add_test(s, "values", test_values);
 	CU_add_test(s, "team values", test_team_values);
+	CU_add_test(s, "orders", test_orders);
+	CU_add_test(s, "order faults", test_order_faults);
 	CU_add_test(s, "keys", test_keys);
 	CU_add_test(s, "paths", test_paths);
 	CU_add_test(s, "sha256", test_sha256);
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -1,4 +1,5 @@
 #include "poplarbeam/caller.h"
+#include "poplarbeam/lease.h"
 #include "poplarbeam/upstream.h"
 
 #include <CUnit/Basic.h>
@@ -191,6 +192,62 @@
 	CU_ASSERT_EQUAL(count_requests(true), 2);
 }
 
+#define ANSWER(status, length, body) \
+	"HTTP/1.1 " status "\r\nContent-Length: " length "\r\n\r\n" body
+
+/*
+ * Guards against an order that counts as refused or in state when the upstream
+ * did not say so, and against belief in numbers that it does not check.
+ */
+static void
+test_orders(void)
+{
+	const char *scripts[] = {ANSWER("200 OK", "2", "{}"),
+	    ANSWER("409 Conflict", "11", "{\"fence\":9}"),
+	    ANSWER("500 Error", "0", ""), NULL,
+	    ANSWER("200 OK", "30", "{\"fence\":7,\"desired\":{\"a\":1}} "),
+	    ANSWER("404 Not Found", "0", ""), ANSWER("200 OK", "2", "[]"),
+	    ANSWER("409 Conflict", "11", "{\"fence\":9}"),
+	    ANSWER("200 OK", "30", "{\"fence\":7,\"desired\":{\"a\":1}} ")};
+	static const int puts[] = {
+	    PB_OK, PB_ECONFLICT, PB_EUNKNOWN, PB_EUNKNOWN};
+	static const int gets[] = {PB_OK, PB_ENOENT, PB_EPROTO};
+	struct pb_client *client = pb_new_client(ctx, 4);
+	struct pb_orders *o = pb_new_http_orders(ctx, client, PB_SEC, true);
+	struct pb_order_state st = {0};
+	uint64_t newer;
+	struct server s;
+	int i;
+
+	start(&s, scripts, 9, false);
+	for (i = 0; i < 4; i++) {
+		CU_ASSERT_EQUAL(o->ops->put(ctx, o, s.address, "n", 3,
+				    pb_str_from("{}"), &newer),
+		    puts[i]);
+		CU_ASSERT_EQUAL(newer, i == 1 ? 9 : 0);
+	}
+	for (i = 0; i < 3; i++)
+		CU_ASSERT_EQUAL(
+		    o->ops->get(ctx, o, s.address, "n", &st), gets[i]);
+	CU_ASSERT_EQUAL(st.fence, 7);
+	CU_ASSERT_STRING_EQUAL(st.desired.data, "{\"a\":1}");
+	pb_clear_buf(&st.desired);
+	pb_drop_http_orders(ctx, o);
+	o = pb_new_http_orders(ctx, client, PB_SEC, false);
+	CU_ASSERT_EQUAL(
+	    o->ops->put(ctx, o, s.address, "n", 3, pb_str_from("{}"), &newer),
+	    PB_EUNKNOWN);
+	CU_ASSERT_EQUAL(o->ops->get(ctx, o, s.address, "n", &st), PB_OK);
+	CU_ASSERT_EQUAL(st.fence, 0);
+	pb_clear_buf(&st.desired);
+	stop(&s);
+	CU_ASSERT_EQUAL(
+	    o->ops->put(ctx, o, s.address, "n", 3, pb_str_from("{}"), &newer),
+	    PB_EUNAVAIL);
+	pb_drop_http_orders(ctx, o);
+	pb_drop_client(ctx, client);
+}
+
 struct seen {
 	struct pb_buf text;
 	int calls;
@@ -327,6 +384,7 @@
 	CU_add_test(s, "sse reset", test_sse_reset);
 	CU_add_test(s, "sse blank lines", test_sse_blank);
 	CU_add_test(s, "call headers", test_call_headers);
+	CU_add_test(s, "orders", test_orders);
 	CU_basic_run_tests();
 	failed = CU_get_number_of_failures();
 	CU_cleanup_registry();
