--- a/source/owner/owner-run.c
+++ b/source/owner/owner-run.c
@@ -399,6 +399,24 @@
 	return owned;
 }
 
+/*
+ * Work of the least urgent rank may take half of the threads for relays, the
+ * most urgent rank all of them. Otherwise the waiting work of a flood holds
+ * every thread, and urgent work waits unseen for a connection to be served.
+ */
+static bool
+has_thread(const struct run *run)
+{
+	const struct pb_node *node = run->owner->node;
+	int64_t threads = node->boot.peer_threads;
+	int64_t ranks = run->settings->rank_count;
+	int64_t used = pb_read_gauge(node->metrics, PB_GAUGE_OWNED_IN_FLIGHT);
+
+	if (run->req->rank <= 0 || ranks < 2)
+		return true;
+	return used < threads - threads / 2 * run->req->rank / (ranks - 1);
+}
+
 void
 pb_run_request(struct pb_context *ctx, struct pb_owner *owner,
     const struct pb_request *req, struct pb_sink *sink,
@@ -425,6 +443,10 @@
 		pb_count(owner->node->metrics, PB_COUNT_NOT_OWNER, 1);
 		goto done;
 	}
+	if (!has_thread(&run)) {
+		refuse(&run, PB_REFUSED_QUEUE_FULL, PB_SEC);
+		goto done;
+	}
 	pb_count(owner->node->metrics, PB_COUNT_OWNED, 1);
 	pb_add_gauge(owner->node->metrics, PB_GAUGE_OWNED_IN_FLIGHT, 1);
 	pthread_cond_init(&run.ticket.wake, NULL);
