--- a/source/settings/settings-fleet.c
+++ b/source/settings/settings-fleet.c
@@ -243,13 +243,12 @@
 	    {"containment", PB_FIELD_NODE, 0, 0, 0},
 	    {"claim", PB_FIELD_NODE, 0, 0, 0},
 	    {"control", PB_FIELD_NODE, 0, 0, 0},
-	    {"account_headroom", PB_FIELD_SHARE, IN(account_headroom), 0, 0.5},
 	    {"takeover_window", PB_FIELD_DURATION, IN(takeover_us), 1e5, 60e6},
 	    {"settings_poll", PB_FIELD_DURATION, IN(poll_us), 1e5, 3e6},
 	    {"freshness_limit", PB_FIELD_DURATION, IN(freshness_us), 1e6,
 		600e6},
-	    {"drain_deadline", PB_FIELD_DURATION, IN(drain_us), 1e6,
-		HOURS(24)}};
+	    {"drain_deadline", PB_FIELD_DURATION, IN(drain_us), 1e6, HOURS(24)},
+	    {"account_headroom", PB_FIELD_SHARE, IN(account_headroom), 0, 0.5}};
 	const struct pb_node *found[COUNT(fields)];
 	int rank;
 
--- a/standin/lib/platform-control.c
+++ b/standin/lib/platform-control.c
@@ -94,7 +94,7 @@
 static int
 send_versioned(struct mg_connection *conn, json_t *body)
 {
-	char *text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
+	char *text = json_dumps(body, JSON_COMPACT);
 	const char *known = mg_get_header(conn, "If-None-Match");
 	char etag[24];
 
