--- a/tests/test-base.c
+++ b/tests/test-base.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/base.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -81,20 +81,15 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"arena blocks", test_arena_blocks},
+	    {"rendezvous weight", test_rendezvous_weight},
+	    {"log escapes", test_log_escapes},
+	    {"error fields", test_error_fields}, CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("base", NULL, NULL);
-	CU_add_test(s, "arena blocks", test_arena_blocks);
-	CU_add_test(s, "rendezvous weight", test_rendezvous_weight);
-	CU_add_test(s, "log escapes", test_log_escapes);
-	CU_add_test(s, "error fields", test_error_fields);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("base", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-cell.c
+++ b/tests/test-cell.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/cell.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -586,27 +586,20 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"ranks", test_ranks},
+	    {"headroom", test_headroom}, {"containment", test_containment},
+	    {"suspects", test_suspects},
+	    {"waiting suspect", test_waiting_suspect},
+	    {"remote containment", test_remote_containment},
+	    {"resume", test_resume}, {"failed upstream", test_failed_upstream},
+	    {"deadline", test_deadline}, {"fuzz", test_fuzz},
+	    CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	pb_advance_clock(&clk, 100 * PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("cell", NULL, NULL);
-	CU_add_test(s, "ranks", test_ranks);
-	CU_add_test(s, "headroom", test_headroom);
-	CU_add_test(s, "containment", test_containment);
-	CU_add_test(s, "suspects", test_suspects);
-	CU_add_test(s, "waiting suspect", test_waiting_suspect);
-	CU_add_test(s, "remote containment", test_remote_containment);
-	CU_add_test(s, "resume", test_resume);
-	CU_add_test(s, "failed upstream", test_failed_upstream);
-	CU_add_test(s, "deadline", test_deadline);
-	CU_add_test(s, "fuzz", test_fuzz);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("cell", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-claim-random.c
+++ b/tests/test-claim-random.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/claim.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -419,14 +419,10 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
-
-	CU_initialize_registry();
-	s = CU_add_suite("claim-random", NULL, NULL);
-	CU_add_test(s, "at most once under faults", test_random);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
-	return failed != 0;
+	static CU_TestInfo tests[] = {
+	    {"at most once under faults", test_random}, CU_TEST_INFO_NULL};
+	int rc;
+
+	rc = run_suite("claim-random", tests);
+	return rc;
 }
--- a/tests/test-claim.c
+++ b/tests/test-claim.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/claim.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -398,29 +398,22 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"repeat", test_repeat},
+	    {"mismatch", test_mismatch}, {"row names", test_row_names},
+	    {"lost answer", test_lost_answer},
+	    {"unknown claim", test_unknown_claim},
+	    {"unknown claim, crash", test_unknown_claim_crash},
+	    {"repair of a foreign row", test_repair_foreign},
+	    {"send window", test_send_window}, {"outage", test_outage},
+	    {"settle in an outage", test_settle_outage},
+	    {"large answer", test_large_answer},
+	    {"malformed row", test_malformed_row}, {"expire", test_expire},
+	    CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, 1000 * PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("claim", NULL, NULL);
-	CU_add_test(s, "repeat", test_repeat);
-	CU_add_test(s, "mismatch", test_mismatch);
-	CU_add_test(s, "row names", test_row_names);
-	CU_add_test(s, "lost answer", test_lost_answer);
-	CU_add_test(s, "unknown claim", test_unknown_claim);
-	CU_add_test(s, "unknown claim, crash", test_unknown_claim_crash);
-	CU_add_test(s, "repair of a foreign row", test_repair_foreign);
-	CU_add_test(s, "send window", test_send_window);
-	CU_add_test(s, "outage", test_outage);
-	CU_add_test(s, "settle in an outage", test_settle_outage);
-	CU_add_test(s, "large answer", test_large_answer);
-	CU_add_test(s, "malformed row", test_malformed_row);
-	CU_add_test(s, "expire", test_expire);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("claim", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-cli.c
+++ b/tests/test-cli.c
@@ -2,7 +2,7 @@
 #include "lib/fake-table.h"
 #include "poplarbeam/operator.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <civetweb.h>
 #include <stdlib.h>
 #include <string.h>
@@ -412,31 +412,25 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed = 1;
+	static CU_TestInfo tests[] = {{"diff", test_diff},
+	    {"changes", test_changes}, {"wait", test_wait},
+	    {"events", test_events}, CU_TEST_INFO_NULL};
+	int rc = 1;
 	int i;
 
 	ctx = pb_new_context(pb_system_clock(), NULL);
 	fleet.fake = fake_new_table(1);
 	mg_init_library(0);
-	CU_initialize_registry();
 	for (i = 0; i < ROUTERS; i++) {
 		if (!start_router(&fleet.router[i], i))
 			goto out;
 	}
-	s = CU_add_suite("cli", NULL, NULL);
-	CU_add_test(s, "diff", test_diff);
-	CU_add_test(s, "changes", test_changes);
-	CU_add_test(s, "wait", test_wait);
-	CU_add_test(s, "events", test_events);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
+	rc = run_suite("cli", tests);
 out:
 	for (i = 0; i < ROUTERS; i++)
 		mg_stop(fleet.router[i].server);
 	mg_exit_library();
-	CU_cleanup_registry();
 	fake_drop_table(fleet.fake);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-digest.c
+++ b/tests/test-digest.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/digest.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -512,28 +512,20 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"order of value", test_value_order},
+	    {"budget and rotation", test_budget_and_rotation},
+	    {"resends", test_resends},
+	    {"clock difference", test_clock_difference}, {"bound", test_bound},
+	    {"rejects", test_rejects}, {"versions", test_versions},
+	    {"shared facts", test_shared_facts}, {"answer", test_answer},
+	    {"far and urgent", test_far_and_urgent},
+	    {"refutation", test_refutation}, {"spread", test_spread},
+	    CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("digest", NULL, NULL);
-	CU_add_test(s, "order of value", test_value_order);
-	CU_add_test(s, "budget and rotation", test_budget_and_rotation);
-	CU_add_test(s, "resends", test_resends);
-	CU_add_test(s, "clock difference", test_clock_difference);
-	CU_add_test(s, "bound", test_bound);
-	CU_add_test(s, "rejects", test_rejects);
-	CU_add_test(s, "versions", test_versions);
-	CU_add_test(s, "shared facts", test_shared_facts);
-	CU_add_test(s, "answer", test_answer);
-	CU_add_test(s, "far and urgent", test_far_and_urgent);
-	CU_add_test(s, "refutation", test_refutation);
-	CU_add_test(s, "spread", test_spread);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("digest", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-hostile.c
+++ b/tests/test-hostile.c
@@ -6,7 +6,7 @@
 #include "../source/upstream/upstream-head.h"
 #include "poplarbeam/boot.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -311,23 +311,15 @@
 int
 main(void)
 {
-	unsigned int failed;
-	CU_pSuite s;
+	static CU_TestInfo tests[] = {{"caller", test_caller},
+	    {"long target", test_long_target}, {"relay", test_relay},
+	    {"answer head", test_answer_head}, {"load report", test_report},
+	    {"instances", test_instances}, {"claim row", test_claim_row},
+	    {"boot", test_boot}, CU_TEST_INFO_NULL};
+	int rc;
 
 	ctx = pb_new_context(pb_system_clock(), NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("hostile", NULL, NULL);
-	CU_add_test(s, "caller", test_caller);
-	CU_add_test(s, "long target", test_long_target);
-	CU_add_test(s, "relay", test_relay);
-	CU_add_test(s, "answer head", test_answer_head);
-	CU_add_test(s, "load report", test_report);
-	CU_add_test(s, "instances", test_instances);
-	CU_add_test(s, "claim row", test_claim_row);
-	CU_add_test(s, "boot", test_boot);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("hostile", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-lease.c
+++ b/tests/test-lease.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/lease.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -487,21 +487,15 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
-
-	CU_initialize_registry();
-	s = CU_add_suite("lease", NULL, NULL);
-	CU_add_test(s, "takeover", test_takeover);
-	CU_add_test(s, "release", test_release);
-	CU_add_test(s, "fence grows", test_fence_grows);
-	CU_add_test(s, "lost answer", test_lost_answer);
-	CU_add_test(s, "slow answer", test_slow_answer);
-	CU_add_test(s, "orders need the lease", test_orders_need_lease);
-	CU_add_test(s, "orders repaired", test_orders_repaired);
-	CU_add_test(s, "random", test_random);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
-	return failed != 0;
+	static CU_TestInfo tests[] = {{"takeover", test_takeover},
+	    {"release", test_release}, {"fence grows", test_fence_grows},
+	    {"lost answer", test_lost_answer},
+	    {"slow answer", test_slow_answer},
+	    {"orders need the lease", test_orders_need_lease},
+	    {"orders repaired", test_orders_repaired}, {"random", test_random},
+	    CU_TEST_INFO_NULL};
+	int rc;
+
+	rc = run_suite("lease", tests);
+	return rc;
 }
--- a/tests/test-limit.c
+++ b/tests/test-limit.c
@@ -1,6 +1,6 @@
 #include "lib/fleet.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -206,23 +206,18 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"one cell exact", test_one_cell_exact},
+	    {"work correction", test_work_correction},
+	    {"concurrency", test_concurrency},
+	    {"bounded accounts", test_bounded_accounts},
+	    {"equal division", test_equal_division},
+	    {"fleet limit", test_fleet_limit},
+	    {"fleet concurrency", test_fleet_concurrency}, CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("limit", NULL, NULL);
-	CU_add_test(s, "one cell exact", test_one_cell_exact);
-	CU_add_test(s, "work correction", test_work_correction);
-	CU_add_test(s, "concurrency", test_concurrency);
-	CU_add_test(s, "bounded accounts", test_bounded_accounts);
-	CU_add_test(s, "equal division", test_equal_division);
-	CU_add_test(s, "fleet limit", test_fleet_limit);
-	CU_add_test(s, "fleet concurrency", test_fleet_concurrency);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("limit", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -1,6 +1,6 @@
 #include "../standin/lib/load.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <string.h>
 
 static struct load_options options = {.duration_sec = 1,
@@ -209,19 +209,14 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"stream faults", test_stream_faults},
+	    {"plain answers", test_plain_answers},
+	    {"plan repeats", test_plan_repeats}, CU_TEST_INFO_NULL};
+	int rc;
 
 	load_add_mix(&options.ranks, "urgent=2");
 	load_add_mix(&options.ranks, "bulk");
 	load_add_mix(&options.accounts, "key");
-	CU_initialize_registry();
-	s = CU_add_suite("load", NULL, NULL);
-	CU_add_test(s, "stream faults", test_stream_faults);
-	CU_add_test(s, "plain answers", test_plain_answers);
-	CU_add_test(s, "plan repeats", test_plan_repeats);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
-	return failed != 0;
+	rc = run_suite("load", tests);
+	return rc;
 }
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/members.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -504,27 +504,23 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {
+	    {"leaving is sticky", test_leaving_sticky},
+	    {"leaving before the list", test_leaving_before_list},
+	    {"damping", test_damping},
+	    {"damping of restarts", test_restart_damping},
+	    {"ejection share", test_eject_share},
+	    {"peer reports", test_peer_reports},
+	    {"router silence", test_router_silence},
+	    {"missing from the list", test_missing_from_list},
+	    {"cell owner", test_cell_owner}, {"convergence", test_convergence},
+	    CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	pb_advance_clock(&clk, 100 * PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("members", NULL, NULL);
-	CU_add_test(s, "leaving is sticky", test_leaving_sticky);
-	CU_add_test(s, "leaving before the list", test_leaving_before_list);
-	CU_add_test(s, "damping", test_damping);
-	CU_add_test(s, "damping of restarts", test_restart_damping);
-	CU_add_test(s, "ejection share", test_eject_share);
-	CU_add_test(s, "peer reports", test_peer_reports);
-	CU_add_test(s, "router silence", test_router_silence);
-	CU_add_test(s, "missing from the list", test_missing_from_list);
-	CU_add_test(s, "cell owner", test_cell_owner);
-	CU_add_test(s, "convergence", test_convergence);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("members", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-peer.c
+++ b/tests/test-peer.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/peer.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <arpa/inet.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -350,21 +350,14 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"exchange", test_exchange},
+	    {"fetch", test_fetch}, {"frozen peer", test_frozen_peer},
+	    {"bad input", test_bad_input}, {"slow client", test_slow_client},
+	    {"threads", test_threads}, CU_TEST_INFO_NULL};
+	int rc;
 
 	ctx = pb_new_context(pb_system_clock(), NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("peer", NULL, NULL);
-	CU_add_test(s, "exchange", test_exchange);
-	CU_add_test(s, "fetch", test_fetch);
-	CU_add_test(s, "frozen peer", test_frozen_peer);
-	CU_add_test(s, "bad input", test_bad_input);
-	CU_add_test(s, "slow client", test_slow_client);
-	CU_add_test(s, "threads", test_threads);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("peer", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -1,7 +1,7 @@
 #include "poplarbeam/lru.h"
 #include "poplarbeam/placement.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 
 #define ENGINES 12
 #define CHATS 4000
@@ -291,28 +291,19 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"bound", test_bound},
+	    {"throttle", test_throttle}, {"moves", test_moves},
+	    {"displaced", test_displaced}, {"ramp", test_ramp},
+	    {"takeover", test_takeover}, {"adopted", test_adopted},
+	    {"room for returning", test_room_for_returning},
+	    {"incarnation", test_incarnation}, {"slots", test_slots},
+	    {"location table", test_lru}, CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	pb_advance_clock(&clk, 100 * PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("placement", NULL, NULL);
-	CU_add_test(s, "bound", test_bound);
-	CU_add_test(s, "throttle", test_throttle);
-	CU_add_test(s, "moves", test_moves);
-	CU_add_test(s, "displaced", test_displaced);
-	CU_add_test(s, "ramp", test_ramp);
-	CU_add_test(s, "takeover", test_takeover);
-	CU_add_test(s, "adopted", test_adopted);
-	CU_add_test(s, "room for returning", test_room_for_returning);
-	CU_add_test(s, "incarnation", test_incarnation);
-	CU_add_test(s, "slots", test_slots);
-	CU_add_test(s, "location table", test_lru);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("placement", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/platform.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <civetweb.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -474,27 +474,19 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"wire forms", test_wire_forms},
+	    {"commit codes", test_commit_codes}, {"no resend", test_no_resend},
+	    {"read codes", test_read_codes}, {"unreachable", test_unreachable},
+	    {"list", test_list}, {"instances", test_instances},
+	    {"objects", test_objects}, {"threads", test_threads},
+	    CU_TEST_INFO_NULL};
+	int rc;
 
 	if (!start_server())
 		return 2;
-	CU_initialize_registry();
-	s = CU_add_suite("platform", NULL, NULL);
-	CU_add_test(s, "wire forms", test_wire_forms);
-	CU_add_test(s, "commit codes", test_commit_codes);
-	CU_add_test(s, "no resend", test_no_resend);
-	CU_add_test(s, "read codes", test_read_codes);
-	CU_add_test(s, "unreachable", test_unreachable);
-	CU_add_test(s, "list", test_list);
-	CU_add_test(s, "instances", test_instances);
-	CU_add_test(s, "objects", test_objects);
-	CU_add_test(s, "threads", test_threads);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("platform", tests);
 	table->ops->drop(ctx, table);
 	mg_stop(http);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-queue.c
+++ b/tests/test-queue.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/queue.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -585,30 +585,23 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"rank order", test_rank_order},
+	    {"no room ends pass", test_no_room_ends_pass},
+	    {"pass", test_pass_leaves_account_out},
+	    {"floors in flood", test_floors_in_flood},
+	    {"due headroom", test_due_headroom},
+	    {"account fairness", test_account_fairness},
+	    {"small account", test_small_account},
+	    {"displacement", test_displacement}, {"bounds", test_bounds},
+	    {"expiry", test_expiry}, {"expected wait", test_expected_wait},
+	    {"no early refusal", test_no_early_refusal},
+	    {"random driver", test_random_driver}, CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("queue", NULL, NULL);
-	CU_add_test(s, "rank order", test_rank_order);
-	CU_add_test(s, "no room ends pass", test_no_room_ends_pass);
-	CU_add_test(s, "pass", test_pass_leaves_account_out);
-	CU_add_test(s, "floors in flood", test_floors_in_flood);
-	CU_add_test(s, "due headroom", test_due_headroom);
-	CU_add_test(s, "account fairness", test_account_fairness);
-	CU_add_test(s, "small account", test_small_account);
-	CU_add_test(s, "displacement", test_displacement);
-	CU_add_test(s, "bounds", test_bounds);
-	CU_add_test(s, "expiry", test_expiry);
-	CU_add_test(s, "expected wait", test_expected_wait);
-	CU_add_test(s, "no early refusal", test_no_early_refusal);
-	CU_add_test(s, "random driver", test_random_driver);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("queue", tests);
 	pb_drop_queue(ctx, queue);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-retry.c
+++ b/tests/test-retry.c
@@ -1,6 +1,6 @@
 #include "poplarbeam/retry.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <pthread.h>
 
 static struct pb_manual_clock clk;
@@ -130,21 +130,15 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"never twice", test_never_twice},
+	    {"verdicts", test_verdicts}, {"no more", test_no_more},
+	    {"share with threads", test_share_threads}, {"delay", test_delay},
+	    CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("retry", NULL, NULL);
-	CU_add_test(s, "never twice", test_never_twice);
-	CU_add_test(s, "verdicts", test_verdicts);
-	CU_add_test(s, "no more", test_no_more);
-	CU_add_test(s, "share with threads", test_share_threads);
-	CU_add_test(s, "delay", test_delay);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("retry", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -1,7 +1,7 @@
 #include "poplarbeam/settings.h"
 #include "poplarbeam/store.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <string.h>
 
 /* The linters do not know that a fatal CUnit check does not return. */
@@ -457,25 +457,17 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"values", test_values},
+	    {"team values", test_team_values}, {"orders", test_orders},
+	    {"order faults", test_order_faults}, {"keys", test_keys},
+	    {"paths", test_paths}, {"faults", test_faults},
+	    {"parse changes", test_parse_changes},
+	    {"report bounds", test_report_bounds}, CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("settings", NULL, NULL);
-	CU_add_test(s, "values", test_values);
-	CU_add_test(s, "team values", test_team_values);
-	CU_add_test(s, "orders", test_orders);
-	CU_add_test(s, "order faults", test_order_faults);
-	CU_add_test(s, "keys", test_keys);
-	CU_add_test(s, "paths", test_paths);
-	CU_add_test(s, "faults", test_faults);
-	CU_add_test(s, "parse changes", test_parse_changes);
-	CU_add_test(s, "report bounds", test_report_bounds);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("settings", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -1,7 +1,7 @@
 #include "lib/fake-table.h"
 #include "poplarbeam/store.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -637,24 +637,16 @@
 int
 main(void)
 {
-	CU_pSuite s;
-	unsigned int failed;
+	static CU_TestInfo tests[] = {{"conflict", test_conflict},
+	    {"lost answer", test_lost_answer}, {"unsettled", test_unsettled},
+	    {"many teams", test_many_teams}, {"history", test_history},
+	    {"tree text", test_tree_text}, {"gate", test_gate},
+	    {"random operators", test_random_operators}, CU_TEST_INFO_NULL};
+	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
 	ctx = pb_new_context(&clk.base, NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("store", NULL, NULL);
-	CU_add_test(s, "conflict", test_conflict);
-	CU_add_test(s, "lost answer", test_lost_answer);
-	CU_add_test(s, "unsettled", test_unsettled);
-	CU_add_test(s, "many teams", test_many_teams);
-	CU_add_test(s, "history", test_history);
-	CU_add_test(s, "tree text", test_tree_text);
-	CU_add_test(s, "gate", test_gate);
-	CU_add_test(s, "random operators", test_random_operators);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("store", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -2,7 +2,7 @@
 #include "poplarbeam/lease.h"
 #include "poplarbeam/upstream.h"
 
-#include <CUnit/Basic.h>
+#include "run-suite.h"
 #include <arpa/inet.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -399,24 +399,17 @@
 int
 main(void)
 {
-	unsigned int failed;
-	CU_pSuite s;
+	static CU_TestInfo tests[] = {{"truncated", test_truncated},
+	    {"sent", test_sent}, {"no resend", test_no_resend},
+	    {"sent on reused", test_sent_on_reused},
+	    {"sse pieces", test_sse_pieces}, {"sse reset", test_sse_reset},
+	    {"sse blank lines", test_sse_blank},
+	    {"call headers", test_call_headers}, {"orders", test_orders},
+	    CU_TEST_INFO_NULL};
+	int rc;
 
 	ctx = pb_new_context(pb_system_clock(), NULL);
-	CU_initialize_registry();
-	s = CU_add_suite("upstream", NULL, NULL);
-	CU_add_test(s, "truncated", test_truncated);
-	CU_add_test(s, "sent", test_sent);
-	CU_add_test(s, "no resend", test_no_resend);
-	CU_add_test(s, "sent on reused", test_sent_on_reused);
-	CU_add_test(s, "sse pieces", test_sse_pieces);
-	CU_add_test(s, "sse reset", test_sse_reset);
-	CU_add_test(s, "sse blank lines", test_sse_blank);
-	CU_add_test(s, "call headers", test_call_headers);
-	CU_add_test(s, "orders", test_orders);
-	CU_basic_run_tests();
-	failed = CU_get_number_of_failures();
-	CU_cleanup_registry();
+	rc = run_suite("upstream", tests);
 	pb_drop_context(ctx);
-	return failed != 0;
+	return rc;
 }
