--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,10 @@
 measure-fleet: all
 	scripts/measure-fleet
 
+# Hundreds of planned stops under load; takes minutes.
+soak: all
+	scripts/soak
+
 slopes: all
 	scripts/slopes
 
@@ -89,7 +93,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all deps demo check measure measure-fleet slopes lint format clean
+.PHONY: all deps demo check measure measure-fleet slopes soak lint format clean
 .SECONDARY:
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/include/poplarbeam/server.h
+++ b/include/poplarbeam/server.h
@@ -8,6 +8,12 @@
 
 /* HTTP server pieces over CivetWeb that callers, relays and operators share. */
 
+/*
+ * CivetWeb closes the connection after a handler returned 401 and keeps it
+ * open after every other value; it has no call to ask for that.
+ */
+#define PB_RETURN_AND_CLOSE 401
+
 /* Handles one request; returns what pb_end_answer returns, or a status. */
 typedef int pb_serve_fn(struct mg_connection *conn, void *arg);
 
--- a/source/caller/caller-answer.c
+++ b/source/caller/caller-answer.c
@@ -122,8 +122,8 @@
 	s->entry = entry;
 	s->answer.conn = entry->conn;
 	s->answer.head_only = strcmp(entry->req.method, "HEAD") == 0;
-	snprintf(
-	    s->extra, sizeof(s->extra), "X-Request-Id: %s\r\n", entry->req.id);
+	snprintf(s->extra, sizeof(s->extra), "X-Request-Id: %s\r\n%s",
+	    entry->req.id, entry_connection(entry));
 }
 
 void
@@ -167,6 +167,13 @@
 	pb_clear_buf(&s->body);
 }
 
+const char *
+entry_connection(const struct entry *e)
+{
+	return atomic_load(&e->server->node->leaving) ? "Connection: close\r\n"
+						      : "";
+}
+
 int
 entry_refuse(struct entry *e, enum verdict verdict, int status,
     const char *code, const char *message, int64_t retry_after_us)
@@ -183,8 +190,8 @@
 		snprintf(retry, sizeof(retry), "Retry-After: %lld\r\n",
 		    (long long)((retry_after_us + PB_SEC - 1) / PB_SEC));
 	snprintf(extra, sizeof(extra),
-	    "X-Request-Id: %s\r\nX-Poplarbeam-Outcome: %s\r\n%s", e->req.id,
-	    outcomes[verdict], retry);
+	    "X-Request-Id: %s\r\nX-Poplarbeam-Outcome: %s\r\n%s%s", e->req.id,
+	    outcomes[verdict], retry, entry_connection(e));
 	json_t *v =
 	    json_pack("{s:{s:s,s:s,s:s,s:s}}", "error", "type", types[verdict],
 		"code", code, "message", message, "request_id", e->req.id);
--- a/source/caller/caller-http.c
+++ b/source/caller/caller-http.c
@@ -104,6 +104,8 @@
 	e->settings = pb_node_settings(server->node);
 	make_request_id(server->node, e->req.id, sizeof(e->req.id));
 	rc = serve(e);
+	if (atomic_load(&server->node->leaving))
+		rc = PB_RETURN_AND_CLOSE;
 	if (e->settings != NULL)
 		pb_drop_settings(&ctx, e->settings);
 	pb_drop_arena(&ctx, e->arena);
--- a/source/caller/caller-internal.h
+++ b/source/caller/caller-internal.h
@@ -99,6 +99,12 @@
 	VERDICT_UNKNOWN
 };
 
+/*
+ * Header line for answers of an instance that is being stopped: a caller that
+ * sent its next request on this connection would find it closed. Else empty.
+ */
+const char *entry_connection(const struct entry *e);
+
 /* Answers with a JSON error; retry_after_us 0: no Retry-After. */
 int entry_refuse(struct entry *e, enum verdict verdict, int status,
     const char *code, const char *message, int64_t retry_after_us);
--- a/source/server/server-http.c
+++ b/source/server/server-http.c
@@ -4,12 +4,6 @@
 #include <string.h>
 #include <strings.h>
 
-/*
- * CivetWeb closes the connection after a handler returned 401 and keeps it
- * open after every other value; it has no call to ask for that.
- */
-#define RETURN_AND_CLOSE 401
-
 struct mg_context *
 pb_start_server(struct pb_context *ctx, const char *address, int threads,
     pb_serve_fn *fn, void *arg)
@@ -156,9 +150,9 @@
 pb_end_answer(struct pb_answer *a, bool whole)
 {
 	if (!whole || a->broken || (!a->chunked && a->left > 0))
-		return RETURN_AND_CLOSE;
+		return PB_RETURN_AND_CLOSE;
 	if (a->chunked && !write_all(a, "0\r\n\r\n", 5))
-		return RETURN_AND_CLOSE;
+		return PB_RETURN_AND_CLOSE;
 	return 200;
 }
 
@@ -176,5 +170,5 @@
 	if (pb_append_buf(&out, body.data, body.len) == PB_OK)
 		mg_write(conn, out.data, out.len);
 	pb_clear_buf(&out);
-	return status == RETURN_AND_CLOSE ? 200 : status;
+	return status == PB_RETURN_AND_CLOSE ? 200 : status;
 }
--- a/standin/pb-load.c
+++ b/standin/pb-load.c
@@ -9,6 +9,7 @@
 #include <argtable2.h>
 #include <curl/curl.h>
 #include <math.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -50,6 +51,15 @@
 	int64_t end_us;
 	bool verbose;
 };
+/* Set by SIGTERM: sending ends, and what is in flight is waited for. */
+static volatile sig_atomic_t interrupted;
+
+static void
+on_interrupt(int sig)
+{
+	(void)sig;
+	interrupted = 1;
+}
 
 static void
 note_gap(void *arg, int64_t us)
@@ -287,11 +297,12 @@
 	CURLMsg *msg;
 	bool open;
 
+	signal(SIGTERM, on_interrupt);
 	load->next_us = serve_now();
 	load->end_us =
 	    load->next_us + (int64_t)(load->options.duration_sec * PB_SEC);
 	do {
-		open = serve_now() < load->end_us;
+		open = serve_now() < load->end_us && !interrupted;
 		if (open)
 			rc = start_due(load);
 		if (rc != PB_OK)
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -220,8 +220,10 @@
 	pb_drop_client(ctx, client);
 }
 
-#define ANSWER(status, length, body) \
-	"HTTP/1.1 " status "\r\nContent-Length: " length "\r\n\r\n" body
+/* Closed after each answer, as this server does: nothing is sent on it. */
+#define ANSWER(status, length, body)                   \
+	"HTTP/1.1 " status "\r\nConnection: close\r\n" \
+	"Content-Length: " length "\r\n\r\n" body
 
 /*
  * Guards against an order that counts as refused or in state when the upstream
