--- a/include/poplarbeam/node.h
+++ b/include/poplarbeam/node.h
@@ -37,8 +37,8 @@
 	struct pb_table *table;
 	struct pb_objects *objects;
 	struct pb_instances *instances;
-	struct pb_settings *settings; /* read with pb_node_settings */
-	struct pb_view *view; /* read with pb_node_view */
+	_Atomic(struct pb_settings *) settings; /* read with pb_node_settings */
+	_Atomic(struct pb_view *) view; /* read with pb_node_view */
 	_Atomic int accepting; /* 1: takes new work from callers */
 	_Atomic int leaving; /* 1: a planned stop is under way */
 	_Atomic int fresh; /* 1: settings confirmed lately */
--- a/source/node/node-state.c
+++ b/source/node/node-state.c
@@ -88,13 +88,17 @@
 	return policy;
 }
 
+/*
+ * The pointers are C11 atomics, not rcu_dereference and rcu_xchg_pointer, whose
+ * assembly the thread sanitizer cannot follow; the grace period is liburcu's.
+ */
 struct pb_settings *
 pb_node_settings(struct pb_node *node)
 {
 	struct pb_settings *s;
 
 	rcu_read_lock();
-	s = rcu_dereference(node->settings);
+	s = atomic_load(&node->settings);
 	if (s != NULL)
 		pb_keep_settings(s);
 	rcu_read_unlock();
@@ -107,7 +111,7 @@
 	struct pb_view *v;
 
 	rcu_read_lock();
-	v = rcu_dereference(node->view);
+	v = atomic_load(&node->view);
 	if (v != NULL)
 		pb_keep_view(v);
 	rcu_read_unlock();
@@ -118,7 +122,7 @@
 pb_set_node_settings(
     struct pb_context *ctx, struct pb_node *node, struct pb_settings *settings)
 {
-	struct pb_settings *old = rcu_xchg_pointer(&node->settings, settings);
+	struct pb_settings *old = atomic_exchange(&node->settings, settings);
 
 	/* A reader may be between loading the pointer and its reference. */
 	synchronize_rcu();
@@ -132,7 +136,7 @@
 pb_set_node_view(
     struct pb_context *ctx, struct pb_node *node, struct pb_view *view)
 {
-	struct pb_view *old = rcu_xchg_pointer(&node->view, view);
+	struct pb_view *old = atomic_exchange(&node->view, view);
 
 	synchronize_rcu();
 	if (old != NULL)
