--- a/standin/lib/engine-cache.c
+++ b/standin/lib/engine-cache.c
@@ -125,7 +125,7 @@
 
 void
 engine_cache_insert(
-    struct engine_cache *c, const json_t *body, unsigned int answer_bytes)
+    struct engine_cache *c, const json_t *body, struct pb_str answer)
 {
 	const json_t *messages = json_object_get(body, "messages");
 	size_t i, n = json_array_size(messages);
@@ -135,9 +135,9 @@
 	pthread_mutex_lock(&c->lock);
 	for (i = 0; i < n; i++) {
 		hash = chain_message(hash, json_array_get(messages, i), &bytes);
-		if (i + 1 == n)
-			bytes += answer_bytes;
 		insert_entry(c, hash, bytes);
 	}
+	hash = pb_hash(answer.data, answer.len, hash) | 1;
+	insert_entry(c, hash, (unsigned int)answer.len);
 	pthread_mutex_unlock(&c->lock);
 }
--- a/standin/lib/engine-cache.h
+++ b/standin/lib/engine-cache.h
@@ -1,8 +1,9 @@
 #ifndef STANDIN_ENGINE_CACHE_H
 #define STANDIN_ENGINE_CACHE_H
 
+#include "poplarbeam/base.h"
+
 #include <jansson.h>
-#include <stddef.h>
 
 /*
  * Prefix cache of the model engine stand-in: remembers which runs of messages
@@ -16,8 +17,11 @@
 
 /* Bytes of the longest prefix of body's messages that is cached. */
 unsigned int engine_cache_match(struct engine_cache *cache, const json_t *body);
-/* Remembers all prefixes of body's messages. */
+/*
+ * Remembers all prefixes of body's messages, and the last one continued with
+ * the answer, as it comes back in the chat's next request.
+ */
 void engine_cache_insert(
-    struct engine_cache *cache, const json_t *body, unsigned int answer_bytes);
+    struct engine_cache *cache, const json_t *body, struct pb_str answer);
 
 #endif
--- a/standin/pb-engine.c
+++ b/standin/pb-engine.c
@@ -309,6 +309,23 @@
 	return s;
 }
 
+/* Keeps the prompt and its answer in the prefix cache. */
+static void
+cache_answer(struct engine *e, const struct chat *c)
+{
+	char word[ANSWER_WORD_LEN + 1];
+	struct pb_buf text = {0};
+	unsigned int i;
+
+	for (i = 0; i < c->words; i++) {
+		answer_word(c->prompt, i, word);
+		pb_append_buf(&text, word, ANSWER_WORD_LEN);
+	}
+	engine_cache_insert(
+	    e->cache, c->body, (struct pb_str){text.data, text.len});
+	pb_clear_buf(&text);
+}
+
 static int
 handle_chat(struct engine *e, struct mg_connection *conn)
 {
@@ -343,7 +360,7 @@
 	} else {
 		status = answer_whole(e, conn, s, c.prompt);
 	}
-	engine_cache_insert(e->cache, c.body, c.words * ANSWER_WORD_LEN);
+	cache_answer(e, &c);
 	leave_batch(e, work);
 	json_decref(c.body);
 	return status;
