--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -75,6 +75,9 @@
 bool pb_str_equal(struct pb_str a, struct pb_str b);
 bool pb_str_equal_c(struct pb_str a, const char *b);
 
+/* True when all characters are printable ASCII and none is a space. */
+bool pb_is_printable(const char *cstr);
+
 /* Copies s into dst of size cap, cut if needed, always terminated. */
 void pb_copy_str(char *dst, size_t cap, const char *src);
 
--- a/include/poplarbeam/upstream.h
+++ b/include/poplarbeam/upstream.h
@@ -18,8 +18,6 @@
 bool pb_is_token(struct pb_str text);
 /* True when the name is a token and the value has no CR, LF, NUL or such. */
 bool pb_is_header(const struct pb_header *header);
-/* True for a terminated path and query without spaces or control bytes. */
-bool pb_is_target(const char *target);
 /* True for headers that only routers set: X-Pb-... and X-Poplarbeam-... */
 bool pb_is_router_header(struct pb_str name);
 
--- a/source/base/base-string.c
+++ b/source/base/base-string.c
@@ -24,6 +24,16 @@
 	return pb_str_equal(a, pb_str_from(b));
 }
 
+bool
+pb_is_printable(const char *cstr)
+{
+	for (; *cstr != '\0'; cstr++) {
+		if (*cstr <= ' ' || *cstr > '~')
+			return false;
+	}
+	return true;
+}
+
 void
 pb_copy_str(char *dst, size_t cap, const char *src)
 {
--- a/source/boot/boot-load.c
+++ b/source/boot/boot-load.c
@@ -38,16 +38,6 @@
 
 #define FIELD_COUNT (sizeof(fields) / sizeof(fields[0]))
 
-/* The values become parts of headers, URLs and listening addresses. */
-static bool
-is_plain(const char *text)
-{
-	for (; *text != '\0'; text++)
-		if (*text <= ' ' || *text > '~')
-			return false;
-	return true;
-}
-
 static int
 set_field(struct pb_context *ctx, const char *name, size_t line,
     const struct field *f, const char *value, struct pb_boot *boot)
@@ -58,7 +48,7 @@
 
 	if (f->cap > 0) {
 		if (*value == '\0' || strlen(value) >= f->cap ||
-		    !is_plain(value))
+		    !pb_is_printable(value))
 			return pb_set_error(ctx, PB_EINVAL, "boot", name,
 			    "%s:%zu: %s: must have 1 to %zu printable "
 			    "characters without spaces",
--- a/source/caller/caller-parse.c
+++ b/source/caller/caller-parse.c
@@ -153,18 +153,15 @@
 read_key(struct entry *e, const struct caller_head *head, struct fault *f)
 {
 	const char *key = header_of(head, "Idempotency-Key");
-	const char *c;
 
 	if (key == NULL || e->req.idempotent)
 		return true;
 	if (*key == '\0' || strlen(key) > KEY_MAX)
 		return fail(f, 400, "bad_key",
 		    "Idempotency-Key must have 1 to 100 characters");
-	for (c = key; *c != '\0'; c++) {
-		if (*c <= ' ' || *c > '~')
-			return fail(f, 400, "bad_key",
-			    "Idempotency-Key must be printable ASCII");
-	}
+	if (!pb_is_printable(key))
+		return fail(f, 400, "bad_key",
+		    "Idempotency-Key must be printable ASCII");
 	e->key = key;
 	return true;
 }
@@ -218,7 +215,7 @@
 	    target.data != NULL ? pb_arena_strdup(e->arena, target.data) : NULL;
 	pb_clear_buf(&target);
 	if (e->req.target == NULL || e->req.target[0] != '/' ||
-	    !pb_is_target(e->req.target))
+	    !pb_is_printable(e->req.target))
 		return fail(f, 400, "bad_path",
 		    "the path must begin with / and be printable ASCII");
 	if (strlen(e->req.target) > TARGET_MAX)
--- a/source/platform/platform-lists.c
+++ b/source/platform/platform-lists.c
@@ -20,19 +20,10 @@
 	struct pb_http_pool *pool;
 };
 
-/* Ids and addresses become parts of headers and URLs. */
-static bool
-is_plain(const char *text)
-{
-	for (; *text != '\0'; text++)
-		if (*text <= ' ' || *text > '~')
-			return false;
-	return true;
-}
-
 /*
  * An absent member is empty; false when it is no string, does not fit or has
- * characters that are not printable ASCII.
+ * characters that are not printable ASCII: ids and addresses become parts of
+ * headers and URLs.
  */
 static bool
 copy_member(const json_t *src, const char *name, char *dst, size_t cap)
@@ -44,7 +35,7 @@
 		return true;
 	}
 	if (!json_is_string(member) || json_string_length(member) >= cap ||
-	    !is_plain(json_string_value(member)))
+	    !pb_is_printable(json_string_value(member)))
 		return false;
 	pb_copy_str(dst, cap, json_string_value(member));
 	return true;
--- a/source/relay/relay-parse.c
+++ b/source/relay/relay-parse.c
@@ -45,7 +45,7 @@
 {
 	const char *text = text_of(r, name);
 
-	if (strlen(text) >= cap || !pb_is_target(text))
+	if (strlen(text) >= cap || !pb_is_printable(text))
 		r->ok = false;
 	else
 		pb_copy_str(dst, cap, text);
@@ -86,5 +86,5 @@
 	    (int64_t)number_of(&r, "X-Pb-Deadline-Ms", 10, MS_MAX) * PB_MSEC;
 	return r.ok && is_id(req->id) && *req->service != '\0' &&
 	    pb_is_token(pb_str_from(req->method)) && *req->target == '/' &&
-	    pb_is_target(req->target);
+	    pb_is_printable(req->target);
 }
--- a/source/upstream/upstream-client.c
+++ b/source/upstream/upstream-client.c
@@ -223,7 +223,7 @@
 		if (!pb_is_header(&call->headers[i]))
 			return false;
 	return pb_is_token(pb_str_from(call->method)) &&
-	    call->target[0] == '/' && pb_is_target(call->target);
+	    call->target[0] == '/' && pb_is_printable(call->target);
 }
 
 /* The list with one line more; NULL, and the list freed, without memory. */
--- a/source/upstream/upstream-sink.c
+++ b/source/upstream/upstream-sink.c
@@ -45,17 +45,6 @@
 	return pb_is_token(header->name);
 }
 
-bool
-pb_is_target(const char *target)
-{
-	const char *c;
-
-	for (c = target; *c != '\0'; c++)
-		if (*c <= ' ' || *c > '~')
-			return false;
-	return true;
-}
-
 bool
 pb_is_router_header(struct pb_str name)
 {
--- a/tests/fuzz/fuzz-caller.c
+++ b/tests/fuzz/fuzz-caller.c
@@ -84,7 +84,7 @@
 	require(r->rank >= e->account->best_rank &&
 	    r->rank < e->settings->rank_count);
 	require(r->work > 0 && r->wait_us > 0 && r->fingerprint != 0);
-	require(r->target[0] == '/' && pb_is_target(r->target));
+	require(r->target[0] == '/' && pb_is_printable(r->target));
 	require(pb_is_token(pb_str_from(r->method)));
 	require(e->body.len <= e->service->max_body_bytes);
 	require(r->header_count <= PB_CALL_HEADERS_MAX);
--- a/tests/fuzz/fuzz-relay.c
+++ b/tests/fuzz/fuzz-relay.c
@@ -75,7 +75,7 @@
 		require(
 		    r.deadline_us >= now && r.deadline_us <= pb_now(ctx) + DAY);
 		require(r.id[0] != '\0' && strpbrk(r.id, "/?# \r\n") == NULL);
-		require(r.target[0] == '/' && pb_is_target(r.target));
+		require(r.target[0] == '/' && pb_is_printable(r.target));
 		require(pb_is_token(pb_str_from(r.method)));
 	}
 	pb_drop_context(ctx);
