--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -173,6 +173,8 @@
 
 stop_fleet() {
 	local pid
+	# A process that has ended already is no fault of the run.
+	set +e
 	for pid in $FLEET_PIDS; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
