Start engines and applications through one shell function

Cause: start_engine and start_app of scripts/fleet.sh were the same lines with other names.

Change: start_upstream holds them; a blank line in pb-load. The other pairs that the duplicate check lists are alike in shape only (tables of options, argument parsing, steps of one scripted run) and stay.

Conclusion: no change of behaviour.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -90,26 +90,29 @@
 	printf '"incarnation":%s}' "$(date +%s%N | cut -c1-16)"
 }
 
+# start_upstream PROGRAM ID SERVICE PORT [OPTION...]: starts a stand-in and
+# enters it into the list once it answers.
+start_upstream() {
+	local program=$1 id=$2 service=$3 port=$4
+	shift 4
+	launch "$id" "$FLEET_BIN/$program" --id "$id" \
+	    --listen "127.0.0.1:$port" "$@"
+	await 10 answers "http://127.0.0.1:$port/v1/load"
+	register "$id" "$(upstream_entry "$id" "$service" "$port" live)"
+}
+
 # start_engine N SERVICE [OPTION...]
 start_engine() {
 	local n=$1 service=$2
 	shift 2
-	launch "e$n" "$FLEET_BIN/pb-engine" --id "e$n" \
-	    --listen "127.0.0.1:$(engine_port "$n")" "$@"
-	await 10 answers "http://127.0.0.1:$(engine_port "$n")/v1/load"
-	register "e$n" \
-	    "$(upstream_entry "e$n" "$service" "$(engine_port "$n")" live)"
+	start_upstream pb-engine "e$n" "$service" "$(engine_port "$n")" "$@"
 }
 
 # start_app N SERVICE [OPTION...]
 start_app() {
 	local n=$1 service=$2
 	shift 2
-	launch "a$n" "$FLEET_BIN/pb-app" --id "a$n" \
-	    --listen "127.0.0.1:$(app_port "$n")" "$@"
-	await 10 answers "http://127.0.0.1:$(app_port "$n")/v1/load"
-	register "a$n" \
-	    "$(upstream_entry "a$n" "$service" "$(app_port "$n")" live)"
+	start_upstream pb-app "a$n" "$service" "$(app_port "$n")" "$@"
 }
 
 # write_router_file N: the process settings of a router.
--- a/standin/pb-load.c
+++ b/standin/pb-load.c
@@ -51,6 +51,7 @@
 	int64_t end_us;
 	bool verbose;
 };
+
 /* Set by SIGTERM: sending ends, and what is in flight is waited for. */
 static volatile sig_atomic_t interrupted;
 
