--- a/Makefile
+++ b/Makefile
@@ -7,21 +7,24 @@
 
 VARIANT ?= release
 B := build/$(VARIANT)
+# Where the program for the platform goes, with all that its build makes.
+TARGET := target
 
-PKGS := libtirpc libcurl jansson yaml-0.1 libxxhash argtable2 libsodium
+PKGS := libtirpc libcurl jansson yaml-0.1 libxxhash argtable2 libsodium \
+    libevent_core
 CFLAGS_release := -O2 -g
 CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
     -fno-sanitize-recover=all
 CFLAGS_tsan := -O1 -g -fsanitize=thread
 
 CC := gcc
-CPPFLAGS := -D_GNU_SOURCE -Iinclude -Istandin/lib -Itests/lib $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS := -D_GNU_SOURCE -Iinclude -Iplatform -Istandin/lib -Itests/lib $(shell pkg-config --cflags $(PKGS))
 CFLAGS := -std=c11 -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
-    -Wmissing-prototypes -Wno-cast-function-type -pthread $(CFLAGS_$(VARIANT))
+    -Wmissing-prototypes -Wno-cast-function-type -pthread -Wl,--as-needed $(CFLAGS_$(VARIANT))
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lcivetweb -lurcu-bp \
-    -lurcu-common -lm -lpthread
+    -lurcu-common -lhttp_parser -lm -lpthread
 
-LIB_SRC := $(filter-out source/tools/%,$(wildcard source/*/*.c))
+LIB_SRC := $(filter-out source/tools/%,$(wildcard source/*/*.c platform/*.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 LIB := $(B)/libpoplarbeam.a
 
@@ -60,6 +63,10 @@
 # Tests the parts of the load tool.
 $(B)/test-load: $(STANDIN_LIB_OBJ)
 
+# The platform's build: only the gateway, without tests and stand-ins.
+gateway:
+	$(MAKE) B=$(TARGET) $(TARGET)/poplarbeam-gateway
+
 deps:
 	scripts/install-deps
 
@@ -91,9 +98,9 @@
 	clang-format -i $(shell scripts/list-sources)
 
 clean:
-	rm -rf build
+	rm -rf build target
 
-.PHONY: all deps demo check measure measure-fleet slopes soak lint format clean
+.PHONY: all gateway deps demo check measure measure-fleet slopes soak lint format clean
 .SECONDARY:
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -168,6 +168,12 @@
 struct pb_log *pb_new_log(
     FILE *file, enum pb_level level, const char *instance);
 void pb_drop_log(struct pb_log *log);
+/*
+ * Bounds the volume: further lines of a second are dropped and counted, and
+ * the next line tells how many. Lines that a full pipe would hold up are
+ * dropped too, so that logging never blocks. 0: no limit.
+ */
+void pb_limit_log(struct pb_log *log, int lines_per_s);
 
 /*
  * Writes one line {"time","level","instance","step","peer","request","text"}.
--- a/include/poplarbeam/boot.h
+++ b/include/poplarbeam/boot.h
@@ -21,10 +21,31 @@
 	char objects[80];
 	char instances[80];
 	char log_level[12];
-	int caller_threads;
-	int peer_threads;
+	long caller_threads;
+	long peer_threads;
 };
 
+/* One key of a flat settings file and where its value goes. */
+struct pb_boot_field {
+	const char *key;
+	size_t offset; /* in the structure that is filled */
+	size_t cap; /* size of a char array; 0: a long */
+	const char *fallback; /* NULL: the key must be given */
+	long min; /* of a number */
+	long max;
+};
+
+/*
+ * Reads a YAML mapping of plain values into the structure at out. Every key
+ * must be among the fields, and none may stand twice.
+ */
+int pb_parse_boot_fields(struct pb_context *ctx, const char *name,
+    struct pb_str text, const struct pb_boot_field *fields, size_t count,
+    void *out);
+/* The same from a file. */
+int pb_load_boot_fields(struct pb_context *ctx, const char *path,
+    const struct pb_boot_field *fields, size_t count, void *out);
+
 /* PB_OK, or PB_EINVAL with file, line and key in the context's error. */
 int pb_load_boot(
     struct pb_context *ctx, const char *path, struct pb_boot *boot);
--- /dev/null
+++ b/include/poplarbeam/registry.h
@@ -0,0 +1,126 @@
+#ifndef POPLARBEAM_REGISTRY_H
+#define POPLARBEAM_REGISTRY_H
+
+#include "poplarbeam/base.h"
+
+/*
+ * The upstream instances that the platform lists, what this router knows of
+ * their load and health, and the choice of one for a request. No sockets, no
+ * threads; time comes from the context's clock.
+ */
+
+/* One entry of the platform's list. */
+struct pb_instance_entry {
+	struct pb_str id;
+	struct pb_str service;
+	struct pb_str address; /* host:port */
+	struct pb_str domain; /* failure domain */
+	int slots; /* requests that it runs at once */
+	bool draining;
+	int64_t started_ms; /* Unix time of its start; 0: not said */
+};
+
+struct pb_link;
+
+#define PB_INSTANCE_TEXT 64
+
+/* Counted: the registry and every request that uses it hold a reference. */
+struct pb_instance {
+	int refs;
+	char id[PB_INSTANCE_TEXT];
+	char service[PB_INSTANCE_TEXT];
+	char address[PB_INSTANCE_TEXT];
+	char domain[PB_INSTANCE_TEXT];
+	uint64_t hash; /* of the id */
+	int slots;
+	bool draining;
+	bool gone; /* no longer listed */
+	bool listed; /* seen in the listing that is being read */
+	int64_t lapse_us; /* when its removal takes effect; 0: not removed */
+	int64_t started_ms;
+	int in_flight; /* requests of this router */
+	int reported; /* running and waiting, by its last report */
+	int reported_own; /* of these, this router's */
+	int64_t reported_us; /* 0: no report yet */
+	int64_t avoid_until_us; /* not reachable lately */
+	double failures; /* decaying count of failed requests */
+	double outcomes; /* decaying count of ended requests */
+	int64_t outcomes_us; /* when the counts were last decayed */
+	/* Idle connections, owned by the gateway. */
+	struct pb_link *idle;
+	int idle_count;
+};
+
+struct pb_registry_ops {
+	/* The instance takes no new request from now on. */
+	void (*closed)(void *owner, struct pb_instance *instance);
+};
+
+struct pb_registry;
+
+/* ops and owner are borrowed; ops may be NULL. */
+struct pb_registry *pb_new_registry(
+    struct pb_context *ctx, const struct pb_registry_ops *ops, void *owner);
+void pb_drop_registry(struct pb_context *ctx, struct pb_registry *registry);
+
+/* A peer that no list holds, with one reference. */
+struct pb_instance *pb_new_instance(const char *id, const char *address);
+struct pb_instance *pb_keep_instance(struct pb_instance *instance);
+void pb_drop_instance(struct pb_instance *instance);
+
+/* Adds or changes one instance. */
+int pb_apply_instance(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_instance_entry *entry);
+/*
+ * The entry is gone. If entries may have expired while the platform was away,
+ * the instance stays usable until pb_expire_instances passes that time.
+ */
+void pb_remove_instance(
+    struct pb_context *ctx, struct pb_registry *registry, struct pb_str id);
+/* Between the two calls, every listed instance is applied once. */
+void pb_begin_listing(struct pb_registry *registry);
+void pb_end_listing(struct pb_context *ctx, struct pb_registry *registry);
+/* Removals that are seen before until_us take effect then. */
+void pb_defer_removals(struct pb_registry *registry, int64_t until_us);
+void pb_expire_instances(struct pb_context *ctx, struct pb_registry *registry);
+
+size_t pb_count_instances(
+    const struct pb_registry *registry, struct pb_str service);
+struct pb_instance *pb_find_instance(
+    const struct pb_registry *registry, struct pb_str id);
+
+/* A request was handed to the instance, or ended there. */
+void pb_note_dispatch(struct pb_instance *instance);
+void pb_note_release(struct pb_instance *instance);
+/* The instance's own count of running and waiting requests. */
+void pb_note_load(
+    struct pb_context *ctx, struct pb_instance *instance, int requests);
+void pb_note_outcome(
+    struct pb_context *ctx, struct pb_instance *instance, bool failed);
+/* Keeps new requests away for a while. */
+void pb_note_unreachable(struct pb_context *ctx, struct pb_instance *instance);
+
+struct pb_placement {
+	struct pb_str service;
+	struct pb_str domain; /* this router's failure domain */
+	uint64_t affinity; /* hash of the shared prompt prefix; 0: none */
+	struct pb_instance *const *excluded;
+	size_t excluded_count;
+	struct pb_random *rnd;
+};
+
+/* What a placement was decided on, for the log. */
+struct pb_placement_facts {
+	size_t candidates;
+	double mean; /* requests on a candidate */
+	double estimate; /* requests on the chosen instance */
+	int64_t report_age_us; /* of the chosen instance; -1: no report */
+	bool preferred; /* the first choice of the prefix */
+};
+
+/* The instance for a request, not counted; NULL if none can take it. */
+struct pb_instance *pb_choose_instance(struct pb_context *ctx,
+    struct pb_registry *registry, const struct pb_placement *placement,
+    struct pb_placement_facts *facts);
+
+#endif
--- a/include/poplarbeam/retry.h
+++ b/include/poplarbeam/retry.h
@@ -50,6 +50,22 @@
 enum pb_retry_verdict pb_judge_attempt(
     struct pb_retry_budget *budget, const struct pb_attempt *attempt);
 
+/*
+ * A budget over a sliding window: repeats never exceed ratio x first sends +
+ * slack in any window. Not thread safe; time comes from the context's clock.
+ */
+struct pb_retry_window;
+
+struct pb_retry_window *pb_new_retry_window(
+    struct pb_context *ctx, int64_t span_us, double ratio, double slack);
+void pb_drop_retry_window(
+    struct pb_context *ctx, struct pb_retry_window *window);
+void pb_note_window_request(
+    struct pb_context *ctx, struct pb_retry_window *window);
+/* Takes one repeat from the budget; false when it is spent. */
+bool pb_take_window_retry(
+    struct pb_context *ctx, struct pb_retry_window *window);
+
 /* Wait before try number n, in microseconds, with jitter from rnd. */
 int64_t pb_retry_delay(int tries, struct pb_random *rnd);
 
--- a/source/base/base-log.c
+++ b/source/base/base-log.c
@@ -1,5 +1,6 @@
 #include "poplarbeam/base.h"
 
+#include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <time.h>
@@ -11,6 +12,10 @@
 	FILE *file;
 	enum pb_level level;
 	char instance[64];
+	int lines_per_s; /* 0: no limit */
+	int lines; /* written in the current second */
+	int64_t second;
+	int64_t dropped; /* since the last line that was written */
 };
 
 struct pb_log *
@@ -27,6 +32,32 @@
 	return log;
 }
 
+void
+pb_limit_log(struct pb_log *log, int lines_per_s)
+{
+	log->lines_per_s = lines_per_s;
+}
+
+/* False if the line has to be dropped. */
+static bool
+admit_line(struct pb_log *log, int64_t now)
+{
+	struct pollfd pfd = {fileno(log->file), POLLOUT, 0};
+
+	if (log->lines_per_s == 0)
+		return true;
+	if (now / PB_SEC != log->second) {
+		log->second = now / PB_SEC;
+		log->lines = 0;
+	}
+	if (log->lines >= log->lines_per_s || poll(&pfd, 1, 0) != 1) {
+		log->dropped++;
+		return false;
+	}
+	log->lines++;
+	return true;
+}
+
 void
 pb_drop_log(struct pb_log *log)
 {
@@ -85,6 +116,10 @@
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
 
 	pthread_mutex_lock(&log->lock);
+	if (!admit_line(log, pb_now(ctx))) {
+		pthread_mutex_unlock(&log->lock);
+		return;
+	}
 	fprintf(log->file, "{\"time\":\"%s.%06dZ\",\"level\":\"%s\"", stamp,
 	    (int)(wall % PB_SEC), names[level]);
 	write_field(log->file, "instance", log->instance);
@@ -92,6 +127,10 @@
 	write_field(log->file, "peer", peer);
 	write_field(log->file, "request", request);
 	write_field(log->file, "text", text);
+	if (log->dropped > 0)
+		fprintf(
+		    log->file, ",\"dropped\":%lld", (long long)log->dropped);
+	log->dropped = 0;
 	fputs("}\n", log->file);
 	fflush(log->file);
 	pthread_mutex_unlock(&log->lock);
--- a/source/boot/boot-load.c
+++ b/source/boot/boot-load.c
@@ -7,42 +7,39 @@
 #define BOOT_FILE_MAX 65536 /* bytes */
 #define THREADS_MAX 4096
 
-struct field {
-	const char *key;
-	size_t offset;
-	size_t cap; /* 0: a number of threads */
-	const char *fallback;
-};
+#define BOOT_FIELDS_MAX 64
 
 /* Offset and size of a text field. */
 #define AT(name) \
 	offsetof(struct pb_boot, name), sizeof(((struct pb_boot *)0)->name)
 
 /* A field without a default must be given. */
-static const struct field fields[] = {
-    {"instance", AT(instance), NULL},
-    {"fleet", AT(fleet), "poplarbeam"},
-    {"region", AT(region), NULL},
-    {"domain", AT(domain), NULL},
-    {"caller", AT(caller), NULL},
-    {"peer", AT(peer), NULL},
-    {"rpc", AT(rpc), NULL},
-    {"admin", AT(admin), NULL},
-    {"table", AT(table), NULL},
-    {"objects", AT(objects), NULL},
-    {"instances", AT(instances), NULL},
-    {"log_level", AT(log_level), "info"},
-    {"caller_threads", offsetof(struct pb_boot, caller_threads), 0, "256"},
-    {"peer_threads", offsetof(struct pb_boot, peer_threads), 0, "256"},
+static const struct pb_boot_field boot_fields[] = {
+    {"instance", AT(instance), NULL, 0, 0},
+    {"fleet", AT(fleet), "poplarbeam", 0, 0},
+    {"region", AT(region), NULL, 0, 0},
+    {"domain", AT(domain), NULL, 0, 0},
+    {"caller", AT(caller), NULL, 0, 0},
+    {"peer", AT(peer), NULL, 0, 0},
+    {"rpc", AT(rpc), NULL, 0, 0},
+    {"admin", AT(admin), NULL, 0, 0},
+    {"table", AT(table), NULL, 0, 0},
+    {"objects", AT(objects), NULL, 0, 0},
+    {"instances", AT(instances), NULL, 0, 0},
+    {"log_level", AT(log_level), "info", 0, 0},
+    {"caller_threads", offsetof(struct pb_boot, caller_threads), 0, "256", 1,
+	THREADS_MAX},
+    {"peer_threads", offsetof(struct pb_boot, peer_threads), 0, "256", 1,
+	THREADS_MAX},
 };
 
-#define FIELD_COUNT (sizeof(fields) / sizeof(fields[0]))
+#define BOOT_FIELD_COUNT (sizeof(boot_fields) / sizeof(boot_fields[0]))
 
 static int
 set_field(struct pb_context *ctx, const char *name, size_t line,
-    const struct field *f, const char *value, struct pb_boot *boot)
+    const struct pb_boot_field *f, const char *value, void *out)
 {
-	char *at = (char *)boot + f->offset;
+	char *at = (char *)out + f->offset;
 	char *end;
 	long n;
 
@@ -57,77 +54,89 @@
 		return PB_OK;
 	}
 	n = strtol(value, &end, 10);
-	if (*value == '\0' || *end != '\0' || n < 1 || n > THREADS_MAX)
+	if (*value == '\0' || *end != '\0' || n < f->min || n > f->max)
 		return pb_set_error(ctx, PB_EINVAL, "boot", name,
-		    "%s:%zu: %s: must be a number of threads, 1 to %d", name,
-		    line, f->key, THREADS_MAX);
-	*(int *)(void *)at = (int)n;
+		    "%s:%zu: %s: must be a number, %ld to %ld", name, line,
+		    f->key, f->min, f->max);
+	memcpy(at, &n, sizeof(n));
 	return PB_OK;
 }
 
+/* The fields that a file is read with, and which of them it has given. */
+struct reading {
+	const char *name; /* of the file */
+	const struct pb_boot_field *fields;
+	size_t count;
+	bool seen[BOOT_FIELDS_MAX];
+	void *out;
+};
+
 static int
-read_pair(struct pb_context *ctx, const char *name, const yaml_node_t *key,
-    const yaml_node_t *value, struct pb_boot *boot, bool *seen)
+read_pair(struct pb_context *ctx, struct reading *r, const yaml_node_t *key,
+    const yaml_node_t *value)
 {
 	const char *k = (const char *)key->data.scalar.value;
 	size_t line = key->start_mark.line + 1;
 	size_t i;
 
 	if (key->type != YAML_SCALAR_NODE || value->type != YAML_SCALAR_NODE)
-		return pb_set_error(ctx, PB_EINVAL, "boot", name,
-		    "%s:%zu: must be a mapping of plain values", name, line);
-	for (i = 0; i < FIELD_COUNT; i++) {
-		if (strcmp(k, fields[i].key) != 0)
+		return pb_set_error(ctx, PB_EINVAL, "boot", r->name,
+		    "%s:%zu: must be a mapping of plain values", r->name, line);
+	for (i = 0; i < r->count; i++) {
+		if (strcmp(k, r->fields[i].key) != 0)
 			continue;
-		if (seen[i])
-			return pb_set_error(ctx, PB_EINVAL, "boot", name,
-			    "%s:%zu: %s: given twice", name, line, k);
-		seen[i] = true;
-		return set_field(ctx, name, line, &fields[i],
-		    (const char *)value->data.scalar.value, boot);
+		if (r->seen[i])
+			return pb_set_error(ctx, PB_EINVAL, "boot", r->name,
+			    "%s:%zu: %s: given twice", r->name, line, k);
+		r->seen[i] = true;
+		return set_field(ctx, r->name, line, &r->fields[i],
+		    (const char *)value->data.scalar.value, r->out);
 	}
-	return pb_set_error(ctx, PB_EINVAL, "boot", name,
-	    "%s:%zu: %s: unknown key", name, line, k);
+	return pb_set_error(ctx, PB_EINVAL, "boot", r->name,
+	    "%s:%zu: %s: unknown key", r->name, line, k);
 }
 
 static int
-read_mapping(struct pb_context *ctx, const char *name, yaml_document_t *doc,
-    struct pb_boot *boot)
+read_mapping(struct pb_context *ctx, struct reading *r, yaml_document_t *doc)
 {
 	yaml_node_t *root = yaml_document_get_root_node(doc);
-	bool seen[FIELD_COUNT] = {false};
 	yaml_node_pair_t *p;
 	size_t i;
 	int rc = PB_OK;
 
 	if (root == NULL || root->type != YAML_MAPPING_NODE)
-		return pb_set_error(ctx, PB_EINVAL, "boot", name,
-		    "%s:1: must be a mapping", name);
+		return pb_set_error(ctx, PB_EINVAL, "boot", r->name,
+		    "%s:1: must be a mapping", r->name);
 	for (p = root->data.mapping.pairs.start;
 	     p < root->data.mapping.pairs.top && rc == PB_OK; p++)
-		rc = read_pair(ctx, name, yaml_document_get_node(doc, p->key),
-		    yaml_document_get_node(doc, p->value), boot, seen);
-	for (i = 0; i < FIELD_COUNT && rc == PB_OK; i++) {
-		if (seen[i])
+		rc = read_pair(ctx, r, yaml_document_get_node(doc, p->key),
+		    yaml_document_get_node(doc, p->value));
+	for (i = 0; i < r->count && rc == PB_OK; i++) {
+		const struct pb_boot_field *f = &r->fields[i];
+
+		if (r->seen[i])
 			continue;
-		if (fields[i].fallback == NULL)
-			return pb_set_error(ctx, PB_EINVAL, "boot", name,
-			    "%s: %s: missing", name, fields[i].key);
-		rc = set_field(
-		    ctx, name, 0, &fields[i], fields[i].fallback, boot);
+		if (f->fallback == NULL)
+			return pb_set_error(ctx, PB_EINVAL, "boot", r->name,
+			    "%s: %s: missing", r->name, f->key);
+		rc = set_field(ctx, r->name, 0, f, f->fallback, r->out);
 	}
 	return rc;
 }
 
 int
-pb_parse_boot(struct pb_context *ctx, const char *name, struct pb_str text,
-    struct pb_boot *boot)
+pb_parse_boot_fields(struct pb_context *ctx, const char *name,
+    struct pb_str text, const struct pb_boot_field *fields, size_t count,
+    void *out)
 {
+	struct reading r = {name, fields, count, {false}, out};
 	yaml_parser_t parser;
 	yaml_document_t doc;
 	int rc;
 
-	memset(boot, 0, sizeof(*boot));
+	if (count > BOOT_FIELDS_MAX)
+		return pb_set_error(
+		    ctx, PB_EINVAL, "boot", name, "too many fields");
 	/* libyaml ends the process when it is given no text. */
 	if (text.data == NULL)
 		text = pb_str_from("");
@@ -143,14 +152,15 @@
 		yaml_parser_delete(&parser);
 		return rc;
 	}
-	rc = read_mapping(ctx, name, &doc, boot);
+	rc = read_mapping(ctx, &r, &doc);
 	yaml_document_delete(&doc);
 	yaml_parser_delete(&parser);
 	return rc;
 }
 
 int
-pb_load_boot(struct pb_context *ctx, const char *path, struct pb_boot *boot)
+pb_load_boot_fields(struct pb_context *ctx, const char *path,
+    const struct pb_boot_field *fields, size_t count, void *out)
 {
 	char text[BOOT_FILE_MAX];
 	FILE *f = fopen(path, "r");
@@ -161,5 +171,23 @@
 		    ctx, PB_ENOENT, "boot", path, "cannot open %s", path);
 	n = fread(text, 1, sizeof(text), f);
 	fclose(f);
-	return pb_parse_boot(ctx, path, (struct pb_str){text, n}, boot);
+	return pb_parse_boot_fields(
+	    ctx, path, (struct pb_str){text, n}, fields, count, out);
+}
+
+int
+pb_parse_boot(struct pb_context *ctx, const char *name, struct pb_str text,
+    struct pb_boot *boot)
+{
+	memset(boot, 0, sizeof(*boot));
+	return pb_parse_boot_fields(
+	    ctx, name, text, boot_fields, BOOT_FIELD_COUNT, boot);
+}
+
+int
+pb_load_boot(struct pb_context *ctx, const char *path, struct pb_boot *boot)
+{
+	memset(boot, 0, sizeof(*boot));
+	return pb_load_boot_fields(
+	    ctx, path, boot_fields, BOOT_FIELD_COUNT, boot);
 }
--- /dev/null
+++ b/source/gateway/gateway-attempt.c
@@ -0,0 +1,304 @@
+#include "gateway-internal.h"
+
+#include <string.h>
+
+/* An attempt with less time than this cannot end in time. */
+#define ATTEMPT_MIN_US (20 * PB_MSEC)
+
+static const struct pb_call_ops call_ops;
+
+bool
+pb_take_attempt(struct pb_exchange *x)
+{
+	if (x->attempts >= x->route->max_attempts ||
+	    x->tried_count >= PB_TRIED_MAX ||
+	    x->deadline_us - pb_now(x->gw->ctx) < ATTEMPT_MIN_US)
+		return false;
+	return pb_take_window_retry(x->gw->ctx, x->budget->window);
+}
+
+static int
+append_request(struct pb_exchange *x, struct pb_buf *buf)
+{
+	struct pb_dispatch_fields f = {0};
+	int rc = pb_append_buf(buf, x->head.data, x->head.len);
+
+	f.instance = pb_str_from(x->instance->id);
+	if (x->account != NULL)
+		f.account = x->account->name;
+	f.time_left_ms = (x->deadline_us - pb_now(x->gw->ctx)) / PB_MSEC;
+	f.has_priority = x->route->kind == PB_ROUTE_STREAMING;
+	f.priority = x->route->priority;
+	if (x->account != NULL && x->account->priority != PB_NO_PRIORITY)
+		f.priority = x->account->priority;
+	f.resumes = x->has_last_event;
+	f.last_event = x->last_event;
+	if (rc == PB_OK)
+		rc = x->gw->adapter->append_dispatch(buf, &f);
+	if (rc == PB_OK && x->has_body)
+		rc = pb_append_fmt(buf, "Content-Length: %zu\r\n", x->body.len);
+	if (rc == PB_OK)
+		rc = pb_append_fmt(buf, "\r\n");
+	return rc;
+}
+
+static int
+send_request(struct pb_exchange *x)
+{
+	struct pb_link *link = pb_take_link(x->gw, x->instance);
+	struct pb_buf buf = {0};
+	int rc = PB_EUNAVAIL;
+
+	if (link != NULL)
+		rc = append_request(x, &buf);
+	if (link != NULL && rc != PB_OK)
+		pb_drop_link(link);
+	if (rc == PB_OK)
+		rc = pb_send_call(link, &x->call,
+		    (struct pb_str){buf.data, buf.len},
+		    (struct pb_str){x->body.data, x->body.len});
+	pb_clear_buf(&buf);
+	return rc;
+}
+
+static void
+log_dispatch(struct pb_exchange *x, const struct pb_placement_facts *facts)
+{
+	char id[64];
+
+	snprintf(
+	    id, sizeof(id), "%.*s", (int)x->request_id.len, x->request_id.data);
+	pb_log(x->gw->ctx, PB_INFO, "dispatch", x->instance->id, id,
+	    "attempt %d; load %.1f of mean %.1f over %zu, report %lld ms old, "
+	    "%s, configuration %lld",
+	    x->attempts + 1, facts->estimate, facts->mean, facts->candidates,
+	    facts->report_age_us < 0
+		? -1
+		: (long long)(facts->report_age_us / PB_MSEC),
+	    facts->preferred ? "by prefix" : "by load",
+	    (long long)x->routing->version);
+}
+
+/* What the caller hears when no further attempt is made. */
+static void
+give_up(struct pb_exchange *x, const char *why)
+{
+	pb_fail_exchange(x, x->may_have_run ? 502 : 503, why);
+}
+
+void
+pb_next_attempt(struct pb_exchange *x)
+{
+	struct pb_gateway *gw = x->gw;
+	struct pb_placement p = {.service = x->service,
+	    .domain = pb_str_from(gw->settings.domain),
+	    .affinity = x->affinity,
+	    .excluded = x->tried,
+	    .excluded_count = x->tried_count,
+	    .rnd = &gw->rnd};
+	struct pb_placement_facts facts;
+	struct pb_instance *inst;
+
+	pb_release_instance(x);
+	x->answer.len = 0;
+	x->spoiled = false;
+	if (x->tried_count == PB_TRIED_MAX ||
+	    x->deadline_us - pb_now(gw->ctx) < ATTEMPT_MIN_US) {
+		give_up(x, "no attempt left");
+		return;
+	}
+	inst = pb_choose_instance(gw->ctx, gw->registry, &p, &facts);
+	if (inst == NULL) {
+		give_up(x, "no instance");
+		return;
+	}
+	x->instance = pb_keep_instance(inst);
+	x->tried[x->tried_count++] = pb_keep_instance(inst);
+	pb_note_dispatch(inst);
+	log_dispatch(x, &facts);
+	x->attempt_us = pb_now(gw->ctx);
+	x->progress_us = x->attempt_us;
+	x->call.ops = &call_ops;
+	if (send_request(x) != PB_OK) {
+		pb_cancel_call(&x->call);
+		pb_next_attempt(x);
+		return;
+	}
+	x->attempts++;
+}
+
+static int
+copy_answer_fields(struct pb_exchange *x, const struct pb_http_head *h)
+{
+	struct pb_str connection = pb_find_http_field(h, "Connection");
+	size_t i;
+	int rc = PB_OK;
+
+	x->answer_fields.len = 0;
+	for (i = 0; i < h->field_count && rc == PB_OK; i++) {
+		struct pb_str name = pb_http_name(h, i);
+		struct pb_str value = pb_http_value(h, i);
+
+		if (!pb_is_hop_field(name) &&
+		    !pb_http_list_has(connection, name))
+			rc = pb_append_fmt(&x->answer_fields, "%.*s: %.*s\r\n",
+			    (int)name.len, name.data, (int)value.len,
+			    value.data);
+	}
+	return rc;
+}
+
+static bool
+is_event_stream(const struct pb_http_head *h)
+{
+	struct pb_str type = pb_find_http_field(h, "Content-Type");
+	static const char events[] = "text/event-stream";
+	size_t n = sizeof(events) - 1;
+
+	return type.len >= n &&
+	    pb_same_http_name((struct pb_str){type.data, n}, events);
+}
+
+static void
+on_head(struct pb_call *call)
+{
+	struct pb_exchange *x = (struct pb_exchange *)call;
+	const struct pb_http_head *h = &call->link->reader.head;
+	struct pb_answer_facts *f = &x->facts;
+
+	x->gw->adapter->read_answer(h, f);
+	x->progress_us = pb_now(x->gw->ctx);
+	if (f->request_id.len > 0 &&
+	    !pb_str_equal(f->request_id, x->request_id)) {
+		pb_log(x->gw->ctx, PB_WARN, "read answer", x->instance->id,
+		    NULL, "an answer to another request; dropped");
+		pb_skip_answer(call);
+		return;
+	}
+	if (f->has_load)
+		pb_note_load(x->gw->ctx, x->instance, f->running + f->waiting);
+	x->status = h->status;
+	x->streaming = h->status == 200 && is_event_stream(h);
+	x->spoiled = h->status < 300 && (!f->sealed || f->encoded);
+	/* A resumed stream keeps the head of its first upstream. */
+	if (!x->started && copy_answer_fields(x, h) != PB_OK)
+		x->spoiled = true;
+}
+
+static void
+on_body(struct pb_call *call, struct pb_str part)
+{
+	struct pb_exchange *x = (struct pb_exchange *)call;
+
+	x->progress_us = pb_now(x->gw->ctx);
+	if (pb_append_buf(&x->answer, part.data, part.len) != PB_OK)
+		x->spoiled = true;
+	if (x->streaming && !x->spoiled && !pb_pass_events(x))
+		x->spoiled = true;
+}
+
+/* The upstream's own failure, or one that it did not run. */
+static bool
+is_failure(const struct pb_exchange *x)
+{
+	return x->spoiled || x->facts.not_run || x->status >= 500 ||
+	    (x->started && !x->streaming);
+}
+
+static void
+deliver_answer(struct pb_exchange *x)
+{
+	struct pb_front *front = x->front;
+	struct pb_buf fields = x->answer_fields;
+	struct pb_buf body = x->answer;
+	bool started = x->started, streaming = x->streaming;
+	int status = x->status;
+
+	x->answer_fields = (struct pb_buf){0};
+	x->answer = (struct pb_buf){0};
+	x->front = NULL;
+	pb_finish_exchange(x, status < 300 ? "complete" : "upstream's answer");
+	if (front == NULL)
+		goto out;
+	front->exchange = NULL;
+	if (!streaming) {
+		pb_reply_front(front, status,
+		    (struct pb_str){fields.data, fields.len},
+		    (struct pb_str){body.data, body.len});
+		goto out;
+	}
+	if (!started)
+		pb_start_front(
+		    front, status, (struct pb_str){fields.data, fields.len});
+	pb_send_front(front, (struct pb_str){body.data, body.len});
+	pb_end_front(front);
+out:
+	pb_clear_buf(&fields);
+	pb_clear_buf(&body);
+}
+
+static void
+log_failed_attempt(struct pb_exchange *x, const char *why)
+{
+	char id[64];
+
+	snprintf(
+	    id, sizeof(id), "%.*s", (int)x->request_id.len, x->request_id.data);
+	pb_log(x->gw->ctx, PB_WARN, "attempt failed",
+	    x->instance != NULL ? x->instance->id : NULL, id,
+	    "%s after %lld ms; attempt %d of %d, status %d, ran: %s", why,
+	    (long long)((pb_now(x->gw->ctx) - x->attempt_us) / PB_MSEC),
+	    x->attempts, x->route->max_attempts, x->status,
+	    x->facts.not_run ? "no" : "unknown");
+}
+
+static void
+on_done(struct pb_call *call)
+{
+	struct pb_exchange *x = (struct pb_exchange *)call;
+	bool failed = is_failure(x);
+
+	pb_note_outcome(x->gw->ctx, x->instance, failed);
+	if (!failed) {
+		deliver_answer(x);
+		return;
+	}
+	log_failed_attempt(x, x->spoiled ? "spoiled answer" : "failure");
+	if (!x->facts.not_run)
+		x->may_have_run = true;
+	if ((x->facts.not_run || x->repeatable) && pb_take_attempt(x)) {
+		pb_next_attempt(x);
+		return;
+	}
+	if (!x->facts.not_run && !x->spoiled && x->facts.sealed && !x->started)
+		deliver_answer(x);
+	else
+		give_up(x, "attempt failed");
+}
+
+static void
+on_failed(struct pb_call *call, enum pb_link_failure failure)
+{
+	struct pb_exchange *x = (struct pb_exchange *)call;
+	struct pb_gateway *gw = x->gw;
+
+	log_failed_attempt(x,
+	    failure == PB_LINK_NOT_REACHED  ? "not reached"
+		: failure == PB_LINK_BROKEN ? "connection broken"
+					    : "not HTTP");
+	if (failure == PB_LINK_NOT_REACHED) {
+		x->attempts--;
+		pb_note_unreachable(gw->ctx, x->instance);
+		pb_next_attempt(x);
+		return;
+	}
+	x->may_have_run = true;
+	pb_note_outcome(gw->ctx, x->instance, true);
+	if (x->repeatable && pb_take_attempt(x))
+		pb_next_attempt(x);
+	else
+		give_up(x, "connection broken");
+}
+
+static const struct pb_call_ops call_ops = {
+    on_head, on_body, on_done, on_failed};
--- /dev/null
+++ b/source/gateway/gateway-events.c
@@ -0,0 +1,94 @@
+#include "gateway-internal.h"
+
+#include <string.h>
+
+/* End of the event that begins at start, or 0 if it is not complete. */
+static size_t
+find_event_end(const char *data, size_t start, size_t len)
+{
+	const char *p = data + start;
+
+	while (start + 1 < len &&
+	    (p = memchr(data + start, '\n', len - start - 1)) != NULL) {
+		size_t at = (size_t)(p - data);
+
+		if (data[at + 1] == '\n')
+			return at + 2;
+		if (data[at + 1] == '\r' && at + 2 < len &&
+		    data[at + 2] == '\n')
+			return at + 3;
+		start = at + 1;
+	}
+	return 0;
+}
+
+/* Reads the event's id; false if it has none. */
+static bool
+read_event_id(const char *event, size_t len, int64_t *id)
+{
+	const char *line = event, *end = event + len;
+
+	while (line < end) {
+		const char *nl = memchr(line, '\n', (size_t)(end - line));
+		const char *p = line + 3;
+		int64_t n = 0;
+
+		if (nl == NULL)
+			nl = end;
+		if (nl - line > 3 && memcmp(line, "id:", 3) == 0) {
+			while (p < nl && *p == ' ')
+				p++;
+			if (p == nl || *p < '0' || *p > '9')
+				return false;
+			for (; p < nl && *p >= '0' && *p <= '9'; p++)
+				n = n * 10 + (*p - '0');
+			*id = n;
+			return true;
+		}
+		line = nl + 1;
+	}
+	return false;
+}
+
+static void
+pass_on(struct pb_exchange *x, const char *data, size_t len)
+{
+	if (x->front == NULL || len == 0)
+		return;
+	if (!x->started) {
+		x->started = true;
+		x->first_us = pb_now(x->gw->ctx);
+		pb_start_front(x->front, x->status,
+		    (struct pb_str){
+			x->answer_fields.data, x->answer_fields.len});
+	}
+	pb_send_front(x->front, (struct pb_str){data, len});
+}
+
+bool
+pb_pass_events(struct pb_exchange *x)
+{
+	const char *data = x->answer.data;
+	size_t len = x->answer.len;
+	size_t from = 0, end;
+	bool in_order = true;
+
+	while ((end = find_event_end(data, from, len)) != 0) {
+		int64_t id;
+
+		if (read_event_id(data + from, end - from, &id)) {
+			/* An event twice, or one left out on a resume. */
+			if (x->has_last_event && id != x->last_event + 1) {
+				in_order = false;
+				break;
+			}
+			x->has_last_event = true;
+			x->last_event = id;
+		}
+		from = end;
+	}
+	pass_on(x, data, from);
+	memmove(x->answer.data, data + from, len - from);
+	x->answer.len = len - from;
+	return in_order;
+}
--- /dev/null
+++ b/source/gateway/gateway-exchange.c
@@ -0,0 +1,243 @@
+#include "gateway-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A connection that is not open by then is given up. */
+#define CONNECT_LIMIT_US (400 * PB_MSEC)
+/* An idempotent call without an answer for this multiple of its objective is
+ * sent to another instance. */
+#define STALL_FACTOR 3
+#define STALL_MIN_US (300 * PB_MSEC)
+/* A resumable stream that is silent for this long goes on elsewhere: callers
+ * give up after two seconds or more. */
+#define STREAM_SILENCE_US (1500 * PB_MSEC)
+
+struct pb_exchange *
+pb_new_exchange(struct pb_front *front)
+{
+	struct pb_gateway *gw = front->gw;
+	struct pb_exchange *x = calloc(1, sizeof(*x));
+
+	if (x == NULL)
+		return NULL;
+	TAILQ_INSERT_TAIL(&gw->exchanges, x, entry);
+	x->gw = gw;
+	x->front = front;
+	front->exchange = x;
+	x->routing = pb_keep_routing(gw->routing);
+	x->arena = pb_new_arena(gw->ctx);
+	if (x->arena == NULL) {
+		pb_drop_exchange(x);
+		return NULL;
+	}
+	return x;
+}
+
+void
+pb_release_instance(struct pb_exchange *x)
+{
+	if (x->instance == NULL)
+		return;
+	pb_note_release(x->instance);
+	pb_drop_instance(x->instance);
+	x->instance = NULL;
+}
+
+void
+pb_drop_exchange(struct pb_exchange *x)
+{
+	size_t i;
+
+	if (x == NULL)
+		return;
+	pb_cancel_call(&x->call);
+	pb_release_instance(x);
+	for (i = 0; i < x->tried_count; i++)
+		pb_drop_instance(x->tried[i]);
+	if (x->timer != NULL)
+		event_free(x->timer);
+	TAILQ_REMOVE(&x->gw->exchanges, x, entry);
+	pb_drop_routing(x->gw->ctx, x->routing);
+	pb_drop_arena(x->gw->ctx, x->arena);
+	pb_clear_buf(&x->head);
+	pb_clear_buf(&x->body);
+	pb_clear_buf(&x->answer_fields);
+	pb_clear_buf(&x->answer);
+	free(x);
+}
+
+static const char *
+kind_name(enum pb_route_kind kind)
+{
+	static const char *const names[] = {
+	    "idempotent", "non_idempotent", "streaming"};
+
+	return names[kind];
+}
+
+void
+pb_finish_exchange(struct pb_exchange *x, const char *outcome)
+{
+	struct pb_gateway *gw = x->gw;
+	int64_t now = pb_now(gw->ctx);
+	char id[64];
+
+	snprintf(
+	    id, sizeof(id), "%.*s", (int)x->request_id.len, x->request_id.data);
+	pb_log(gw->ctx, PB_INFO, "end request", NULL, id,
+	    "%s; route %.*s (%s), account %.*s, attempts %d, status %d, "
+	    "first part after %lld ms, all after %lld ms, may have run: %s, "
+	    "configuration %lld",
+	    outcome, (int)x->route->name.len, x->route->name.data,
+	    kind_name(x->route->kind),
+	    x->account != NULL ? (int)x->account->name.len : 0,
+	    x->account != NULL ? x->account->name.data : "", x->attempts,
+	    x->status,
+	    x->first_us != 0
+		? (long long)((x->first_us - x->received_us) / PB_MSEC)
+		: -1,
+	    (long long)((now - x->received_us) / PB_MSEC),
+	    x->may_have_run ? "yes" : "no", (long long)x->routing->version);
+	pb_count_outcome(
+	    gw->metrics, x->route->kind, outcome, now - x->received_us);
+	pb_drop_exchange(x);
+}
+
+void
+pb_fail_exchange(struct pb_exchange *x, int status, const char *why)
+{
+	struct pb_front *front = x->front;
+	int64_t left = x->deadline_us - pb_now(x->gw->ctx);
+	bool started = x->started;
+
+	x->front = NULL;
+	x->status = status;
+	pb_finish_exchange(x, why);
+	if (front == NULL)
+		return;
+	front->exchange = NULL;
+	if (started)
+		pb_abort_front(front);
+	else if (status == 503)
+		pb_refuse_front(front, status, left);
+	else
+		pb_reply_front(front, status, PB_STR_NONE, PB_STR_NONE);
+}
+
+/* The earliest moment at which the timer has something to do. */
+static int64_t
+next_check(const struct pb_exchange *x)
+{
+	int64_t at = x->deadline_us;
+	int64_t stall = INT64_MAX;
+
+	if (x->call.link == NULL)
+		return at;
+	if (!x->call.link->connected)
+		stall = x->attempt_us + CONNECT_LIMIT_US;
+	else if (x->route->kind == PB_ROUTE_STREAMING && x->route->resumable)
+		stall = x->progress_us + STREAM_SILENCE_US;
+	else if (x->route->kind == PB_ROUTE_IDEMPOTENT) {
+		int64_t limit = x->route->target_us * STALL_FACTOR;
+
+		stall = x->attempt_us +
+		    (limit > STALL_MIN_US ? limit : STALL_MIN_US);
+	}
+	return stall < at ? stall : at;
+}
+
+static void
+arm_timer(struct pb_exchange *x, int64_t at)
+{
+	int64_t delay = at - pb_now(x->gw->ctx);
+	struct timeval tv;
+
+	if (delay < PB_MSEC)
+		delay = PB_MSEC;
+	tv.tv_sec = delay / PB_SEC;
+	tv.tv_usec = delay % PB_SEC;
+	evtimer_add(x->timer, &tv);
+}
+
+/* The time of the request is over. */
+static void
+expire_exchange(struct pb_exchange *x)
+{
+	if (x->attempts == 0)
+		pb_fail_exchange(x, 503, "not sent in time");
+	else
+		pb_fail_exchange(x, 504, "timeout");
+}
+
+/* Nothing came from the upstream for too long. */
+static void
+leave_stalled_attempt(struct pb_exchange *x)
+{
+	struct pb_gateway *gw = x->gw;
+
+	if (!x->call.link->connected) {
+		pb_note_unreachable(gw->ctx, x->instance);
+		pb_cancel_call(&x->call);
+		pb_next_attempt(x);
+		return;
+	}
+	if (!pb_take_attempt(x)) {
+		/* Looks again later: the budget may allow it then. */
+		x->progress_us = pb_now(gw->ctx);
+		x->attempt_us = x->progress_us;
+		arm_timer(x, next_check(x));
+		return;
+	}
+	pb_note_outcome(gw->ctx, x->instance, true);
+	x->may_have_run = true;
+	pb_cancel_call(&x->call);
+	pb_next_attempt(x);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct pb_exchange *x = arg;
+	int64_t now = pb_now(x->gw->ctx);
+	int64_t at = next_check(x);
+
+	(void)fd;
+	(void)what;
+	if (now >= x->deadline_us)
+		expire_exchange(x);
+	else if (now >= at)
+		leave_stalled_attempt(x);
+	else
+		arm_timer(x, at);
+}
+
+void
+pb_start_exchange(struct pb_exchange *x)
+{
+	struct pb_front *front = x->front;
+
+	x->body = front->body;
+	front->body = (struct pb_buf){0};
+	x->timer = evtimer_new(x->gw->base, on_timer, x);
+	if (x->timer == NULL) {
+		pb_fail_exchange(x, 503, "out of memory");
+		return;
+	}
+	pb_note_window_request(x->gw->ctx, x->budget->window);
+	arm_timer(x, x->received_us + CONNECT_LIMIT_US);
+	pb_next_attempt(x);
+}
+
+void
+pb_leave_exchange(struct pb_exchange *x)
+{
+	x->front = NULL;
+	/*
+	 * Work that may not be repeated is left to end by itself: breaking it
+	 * off would leave its outcome unknown.
+	 */
+	if (x->route->kind == PB_ROUTE_NON_IDEMPOTENT && x->call.link != NULL)
+		return;
+	pb_finish_exchange(x, "caller left");
+}
--- /dev/null
+++ b/source/gateway/gateway-internal.h
@@ -0,0 +1,292 @@
+#ifndef GATEWAY_INTERNAL_H
+#define GATEWAY_INTERNAL_H
+
+#include "poplarbeam/gateway.h"
+#include "poplarbeam/retry.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <sys/queue.h>
+
+struct pb_front;
+struct pb_exchange;
+struct pb_watch;
+struct pb_gateway_metrics;
+
+/* Repeats that a router may send whatever its traffic. */
+#define PB_RETRY_SLACK 2
+
+TAILQ_HEAD(pb_front_list, pb_front);
+TAILQ_HEAD(pb_exchange_list, pb_exchange);
+
+/* The retry budget of one service. */
+struct pb_service_budget {
+	char service[PB_INSTANCE_TEXT];
+	struct pb_retry_window *window;
+	struct pb_service_budget *next;
+};
+
+struct pb_front_ops;
+
+/* What an address that is listened on serves. */
+struct pb_entrance {
+	struct pb_gateway *gw;
+	const struct pb_front_ops *ops;
+};
+
+struct pb_gateway {
+	struct pb_context *ctx;
+	const struct pb_adapter_ops *adapter;
+	struct pb_gateway_settings settings;
+	const char *path;
+	struct event_base *base;
+	struct evconnlistener *caller_listener;
+	struct evconnlistener *ready_listener;
+	struct evconnlistener *metrics_listener;
+	struct pb_entrance caller_entrance;
+	struct pb_entrance ready_entrance;
+	struct pb_entrance metrics_entrance;
+	struct event *sweep_timer;
+	struct event *term_signal;
+	struct event *reload_signal;
+	struct pb_front_list fronts;
+	struct pb_exchange_list exchanges;
+	struct pb_routing *routing; /* NULL: none read yet */
+	int64_t routing_us; /* when it was put in force */
+	struct pb_registry *registry;
+	struct pb_instance *store; /* the platform's store */
+	struct pb_watch *routing_watch;
+	struct pb_watch *instance_watch;
+	struct pb_service_budget *budgets;
+	struct pb_gateway_metrics *metrics;
+	struct pb_random rnd;
+	int64_t settings_time_ns; /* modification time of the file */
+	int64_t stop_us; /* when a stop began; 0: not stopping */
+	bool ready_said; /* the last answer about readiness */
+};
+
+/* gateway-net.c */
+bool pb_parse_address(
+    const char *text, struct sockaddr_storage *addr, int *len);
+/* Small answers are sent at once, and a silent peer is detected. */
+void pb_tune_socket(evutil_socket_t fd);
+/* Writes what the socket takes now and queues the rest. */
+int pb_write_now(struct bufferevent *bev, struct pb_str data);
+
+/* gateway-link.c: a connection to an upstream or to the store. */
+
+enum pb_link_failure {
+	PB_LINK_NOT_REACHED, /* nothing was sent */
+	PB_LINK_BROKEN, /* ended before the answer was complete */
+	PB_LINK_PROTOCOL /* the answer is not HTTP */
+};
+
+struct pb_call;
+
+struct pb_call_ops {
+	void (*head)(struct pb_call *call);
+	void (*body)(struct pb_call *call, struct pb_str part);
+	/* The call has no link any more in the last two. */
+	void (*done)(struct pb_call *call);
+	void (*failed)(struct pb_call *call, enum pb_link_failure failure);
+};
+
+/* One request on a link; first member of what makes it. */
+struct pb_call {
+	const struct pb_call_ops *ops;
+	struct pb_link *link; /* NULL: no request in progress */
+};
+
+struct pb_link {
+	struct pb_gateway *gw;
+	struct bufferevent *bev;
+	struct pb_http_reader reader;
+	struct pb_call *call;
+	struct pb_instance *instance; /* counted */
+	struct pb_link *next_idle;
+	int64_t idle_us; /* when it became idle */
+	int64_t keep_us; /* how long the peer keeps it open when idle */
+	bool connected;
+	bool reading; /* inside a callback of the reader */
+	bool dead; /* to be dropped after that callback */
+	bool skipping; /* reads an answer that belongs to no request */
+	bool tainted; /* never used again */
+	bool reused;
+};
+
+/* A new connection; NULL when none can be made. */
+struct pb_link *pb_open_link(
+    struct pb_gateway *gw, struct pb_instance *instance);
+/* An idle connection to the instance, or a new one; NULL: none can be made. */
+struct pb_link *pb_take_link(
+    struct pb_gateway *gw, struct pb_instance *instance);
+void pb_drop_link(struct pb_link *link);
+void pb_drop_idle_links(struct pb_instance *instance);
+void pb_expire_idle_links(struct pb_gateway *gw, struct pb_instance *instance);
+/* Sends a whole request; the link serves one call at a time. */
+int pb_send_call(struct pb_link *link, struct pb_call *call, struct pb_str head,
+    struct pb_str body);
+/* Ends the call and closes its connection. */
+void pb_cancel_call(struct pb_call *call);
+/* Called in head: the answer is not this call's; waits for the next one. */
+void pb_skip_answer(struct pb_call *call);
+
+/* gateway-front.c: a connection from a caller. */
+
+struct pb_front_ops {
+	void (*request)(struct pb_front *front);
+};
+
+struct pb_front {
+	const struct pb_front_ops *ops;
+	struct pb_gateway *gw;
+	struct bufferevent *bev;
+	struct pb_http_reader reader;
+	struct pb_buf body;
+	struct pb_exchange *exchange; /* NULL: no request in progress */
+	int64_t activity_us; /* last start or end of a message */
+	bool handling; /* a request is complete and not yet answered */
+	bool reading;
+	bool chunked; /* the answer in progress is sent in chunks */
+	bool close_after; /* close when the answer is sent */
+	bool lingering; /* sent everything; waits for the caller's end */
+	bool dead;
+	TAILQ_ENTRY(pb_front) entry;
+};
+
+/* entrance is filled in and outlives the listener. */
+struct evconnlistener *pb_listen_front(struct pb_gateway *gw,
+    struct pb_entrance *entrance, const char *address,
+    const struct pb_front_ops *ops);
+/* A whole answer. fields: further head lines, each with its end of line. */
+void pb_reply_front(struct pb_front *front, int status, struct pb_str fields,
+    struct pb_str body);
+/* An answer of unknown length: head, any number of parts, end. */
+void pb_start_front(struct pb_front *front, int status, struct pb_str fields);
+void pb_send_front(struct pb_front *front, struct pb_str part);
+void pb_end_front(struct pb_front *front);
+/* Breaks off an answer: the caller sees that it is not complete. */
+void pb_abort_front(struct pb_front *front);
+void pb_drop_front(struct pb_front *front);
+/* Closes connections that are idle, slow or lingering for too long. */
+void pb_sweep_fronts(struct pb_gateway *gw);
+/* Closes idle connections at once, for a stop. */
+void pb_close_idle_fronts(struct pb_gateway *gw);
+
+/* gateway-request.c: checks a request and starts its exchange. */
+extern const struct pb_front_ops pb_caller_ops;
+
+/* gateway-ready.c */
+extern const struct pb_front_ops pb_ready_ops;
+extern const struct pb_front_ops pb_metrics_ops;
+bool pb_is_ready(struct pb_gateway *gw);
+/* Refuses a request as not run, with the time after which to come back. */
+void pb_refuse_front(struct pb_front *front, int status, int64_t left_us);
+
+/* gateway-watch.c: follows one table of the store. */
+
+struct pb_watch_ops {
+	void (*row)(struct pb_gateway *gw, struct pb_arena *arena,
+	    const struct pb_store_row *row);
+	/* A listing replaces all that is known; may be NULL. */
+	void (*begin)(struct pb_gateway *gw);
+	void (*end)(struct pb_gateway *gw);
+	/* The store answered again after it was away since since_us. */
+	void (*regained)(struct pb_gateway *gw, int64_t since_us);
+	enum pb_store_table table;
+	const char *name;
+	int wait_ms; /* how long the store may hold a question */
+	int64_t period_us; /* shortest time between two questions */
+};
+
+struct pb_watch *pb_new_watch(
+    struct pb_gateway *gw, const struct pb_watch_ops *ops);
+void pb_drop_watch(struct pb_watch *watch);
+/* What is known held at this moment; 0: nothing is known. */
+int64_t pb_watch_fresh(const struct pb_watch *watch);
+
+/* gateway-exchange.c: one request and its attempts at upstreams. */
+
+#define PB_TRIED_MAX 8
+
+struct pb_exchange {
+	struct pb_call call;
+	struct pb_gateway *gw;
+	struct pb_front *front; /* NULL: the caller has left */
+	struct pb_arena *arena;
+	struct pb_routing *routing; /* counted */
+	const struct pb_route *route;
+	const struct pb_account *account; /* NULL: none */
+	struct pb_service_budget *budget;
+	struct pb_str request_id;
+	struct pb_str service;
+	struct pb_buf
+	    head; /* the request as it is passed on, without its end */
+	struct pb_buf body;
+	bool has_body;
+	uint64_t affinity;
+	int64_t prompt_tokens;
+	int64_t received_us;
+	int64_t deadline_us;
+	int64_t attempt_us; /* start of the attempt in progress */
+	int64_t progress_us; /* last byte from the upstream */
+	struct pb_instance *instance; /* of the attempt in progress; counted */
+	struct pb_instance *tried[PB_TRIED_MAX]; /* counted */
+	size_t tried_count;
+	int attempts; /* that may have reached an upstream */
+	bool may_have_run;
+	bool repeatable; /* may run more than once */
+	/* The answer. */
+	int status;
+	struct pb_answer_facts facts; /* of the attempt in progress */
+	struct pb_buf answer_fields;
+	struct pb_buf answer;
+	bool streaming; /* events are passed on as they come */
+	bool started; /* the caller has the head of the answer */
+	bool spoiled; /* the answer is not the upstream's */
+	bool has_last_event;
+	int64_t last_event;
+	int64_t first_us; /* when the first part reached the caller */
+	const char *outcome; /* for the log */
+	struct event *timer;
+	TAILQ_ENTRY(pb_exchange) entry;
+};
+
+/* Takes the body of front. The exchange drops itself when it has ended. */
+void pb_start_exchange(struct pb_exchange *x);
+struct pb_exchange *pb_new_exchange(struct pb_front *front);
+void pb_drop_exchange(struct pb_exchange *x);
+/* The caller has closed its connection. */
+void pb_leave_exchange(struct pb_exchange *x);
+
+/* gateway-attempt.c: chooses an upstream and sends the request. */
+void pb_next_attempt(struct pb_exchange *x);
+/* Ends the exchange without an upstream's answer. */
+void pb_fail_exchange(struct pb_exchange *x, int status, const char *why);
+/* Counts and logs the outcome and drops the exchange. */
+void pb_finish_exchange(struct pb_exchange *x, const char *outcome);
+/* Gives the instance of the attempt back. */
+void pb_release_instance(struct pb_exchange *x);
+/* True if another attempt is allowed; takes it from the budget. */
+bool pb_take_attempt(struct pb_exchange *x);
+
+/* gateway-events.c */
+/* Passes complete events of the answer on; false: an event is out of order. */
+bool pb_pass_events(struct pb_exchange *x);
+
+/* gateway-metrics.c */
+struct pb_gateway_metrics *pb_new_gateway_metrics(void);
+void pb_drop_gateway_metrics(struct pb_gateway_metrics *metrics);
+void pb_count_outcome(struct pb_gateway_metrics *metrics,
+    enum pb_route_kind kind, const char *outcome, int64_t us);
+int pb_format_gateway_metrics(const struct pb_gateway *gw, struct pb_buf *buf);
+
+/* gateway-stop.c */
+void pb_begin_stop(struct pb_gateway *gw);
+/* Called by every sweep. */
+void pb_continue_stop(struct pb_gateway *gw);
+
+#endif
--- /dev/null
+++ b/source/gateway/gateway-link.c
@@ -0,0 +1,355 @@
+#include "gateway-internal.h"
+
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HEAD_MAX 32768 /* bytes */
+#define BODY_MAX (16 << 20) /* bytes of one answer */
+#define IDLE_MAX 16 /* idle connections kept to one instance */
+/* Used when the peer does not say how long it keeps a connection. */
+#define KEEP_DEFAULT_US (4 * PB_SEC)
+/* A connection is not used in the last part of that time. */
+#define KEEP_MARGIN_US PB_SEC
+
+static void
+on_answer_head(struct pb_http_reader *reader)
+{
+	struct pb_link *link = reader->owner;
+
+	if (reader->head.status < 200)
+		return;
+	if (link->call != NULL)
+		link->call->ops->head(link->call);
+}
+
+static void
+on_answer_body(struct pb_http_reader *reader, struct pb_str part)
+{
+	struct pb_link *link = reader->owner;
+
+	if (link->call != NULL && !link->skipping)
+		link->call->ops->body(link->call, part);
+}
+
+static const struct pb_http_ops reader_ops = {on_answer_head, on_answer_body};
+
+void
+pb_drop_link(struct pb_link *link)
+{
+	if (link->reading) {
+		link->dead = true;
+		return;
+	}
+	bufferevent_free(link->bev);
+	pb_clear_http_reader(&link->reader);
+	pb_drop_instance(link->instance);
+	free(link);
+}
+
+static void
+fail_link(struct pb_link *link, enum pb_link_failure failure)
+{
+	struct pb_call *call = link->call;
+
+	link->call = NULL;
+	if (call != NULL)
+		call->link = NULL;
+	pb_drop_link(link);
+	if (call != NULL)
+		call->ops->failed(call, failure);
+}
+
+/* Keep-Alive: timeout=SECONDS */
+static int64_t
+read_keep_time(const struct pb_http_head *head)
+{
+	struct pb_str v = pb_find_http_field(head, "Keep-Alive");
+	static const char key[] = "timeout=";
+	size_t i, n = sizeof(key) - 1;
+
+	for (i = 0; v.len > n && i < v.len - n; i++) {
+		if (memcmp(v.data + i, key, n) == 0 && v.data[i + n] >= '0' &&
+		    v.data[i + n] <= '9')
+			return (int64_t)strtol(v.data + i + n, NULL, 10) *
+			    PB_SEC;
+	}
+	return KEEP_DEFAULT_US;
+}
+
+static bool
+can_keep(const struct pb_link *link)
+{
+	const struct pb_instance *inst = link->instance;
+
+	if (link->tainted || !link->reader.head.keep_alive ||
+	    evbuffer_get_length(bufferevent_get_input(link->bev)) > 0 ||
+	    evbuffer_get_length(bufferevent_get_output(link->bev)) > 0)
+		return false;
+	return !inst->gone && !inst->draining && inst->idle_count < IDLE_MAX &&
+	    link->gw->stop_us == 0;
+}
+
+static void
+put_idle_link(struct pb_link *link)
+{
+	struct pb_instance *inst = link->instance;
+
+	link->keep_us = read_keep_time(&link->reader.head);
+	link->idle_us = pb_now(link->gw->ctx);
+	pb_reset_http_reader(&link->reader);
+	link->next_idle = inst->idle;
+	inst->idle = link;
+	inst->idle_count++;
+}
+
+static bool
+is_stale(const struct pb_link *link, int64_t now)
+{
+	return now - link->idle_us > link->keep_us - KEEP_MARGIN_US;
+}
+
+static struct pb_link *
+take_idle_link(struct pb_gateway *gw, struct pb_instance *instance)
+{
+	struct pb_link *link;
+
+	while ((link = instance->idle) != NULL) {
+		instance->idle = link->next_idle;
+		instance->idle_count--;
+		link->next_idle = NULL;
+		if (!is_stale(link, pb_now(gw->ctx))) {
+			link->reused = true;
+			return link;
+		}
+		pb_drop_link(link);
+	}
+	return NULL;
+}
+
+/* Takes an idle link out of its instance's list. */
+static void
+unlink_idle(struct pb_link *link)
+{
+	struct pb_link **p = &link->instance->idle;
+
+	while (*p != NULL && *p != link)
+		p = &(*p)->next_idle;
+	if (*p == NULL)
+		return;
+	*p = link->next_idle;
+	link->instance->idle_count--;
+}
+
+void
+pb_drop_idle_links(struct pb_instance *instance)
+{
+	struct pb_link *link;
+
+	while ((link = instance->idle) != NULL) {
+		instance->idle = link->next_idle;
+		instance->idle_count--;
+		pb_drop_link(link);
+	}
+}
+
+void
+pb_expire_idle_links(struct pb_gateway *gw, struct pb_instance *instance)
+{
+	struct pb_link **p = &instance->idle;
+	int64_t now = pb_now(gw->ctx);
+
+	while (*p != NULL) {
+		struct pb_link *link = *p;
+
+		if (!is_stale(link, now)) {
+			p = &link->next_idle;
+			continue;
+		}
+		*p = link->next_idle;
+		instance->idle_count--;
+		pb_drop_link(link);
+	}
+}
+
+static void
+complete_link(struct pb_link *link)
+{
+	struct pb_call *call = link->call;
+
+	link->call = NULL;
+	call->link = NULL;
+	if (can_keep(link))
+		put_idle_link(link);
+	else
+		pb_drop_link(link);
+	call->ops->done(call);
+}
+
+/* Feeds what has arrived; false when the link is gone or idle. */
+static bool
+read_some(struct pb_link *link)
+{
+	struct evbuffer *in = bufferevent_get_input(link->bev);
+	size_t len = evbuffer_get_contiguous_space(in);
+	size_t n;
+
+	if (len == 0)
+		return false;
+	link->reading = true;
+	n = pb_feed_http(&link->reader,
+	    (const char *)evbuffer_pullup(in, (ev_ssize_t)len), len);
+	link->reading = false;
+	if (link->dead) {
+		pb_drop_link(link);
+		return false;
+	}
+	evbuffer_drain(in, n);
+	if (link->reader.error != PB_HTTP_OK) {
+		fail_link(link, PB_LINK_PROTOCOL);
+		return false;
+	}
+	if (!link->reader.complete)
+		return true;
+	if (link->skipping || link->reader.head.status < 200) {
+		link->skipping = false;
+		pb_reset_http_reader(&link->reader);
+		return true;
+	}
+	complete_link(link);
+	return false;
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct pb_link *link = arg;
+
+	(void)bev;
+	if (link->call == NULL) {
+		/* Bytes that belong to no request: never used again. */
+		unlink_idle(link);
+		pb_drop_link(link);
+		return;
+	}
+	while (read_some(link))
+		;
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct pb_link *link = arg;
+	bool whole;
+
+	(void)bev;
+	if ((what & BEV_EVENT_CONNECTED) != 0) {
+		link->connected = true;
+		return;
+	}
+	if (link->call == NULL) {
+		unlink_idle(link);
+		pb_drop_link(link);
+		return;
+	}
+	if (!link->connected) {
+		fail_link(link, PB_LINK_NOT_REACHED);
+		return;
+	}
+	link->reading = true;
+	whole = (what & BEV_EVENT_EOF) != 0 && !link->skipping &&
+	    pb_finish_http(&link->reader);
+	link->reading = false;
+	if (link->dead) {
+		pb_drop_link(link);
+		return;
+	}
+	link->tainted = true;
+	if (whole)
+		complete_link(link);
+	else
+		fail_link(link, PB_LINK_BROKEN);
+}
+
+struct pb_link *
+pb_open_link(struct pb_gateway *gw, struct pb_instance *instance)
+{
+	struct sockaddr_storage addr;
+	struct pb_link *link;
+	evutil_socket_t fd = -1;
+	int len;
+
+	if (!pb_parse_address(instance->address, &addr, &len))
+		return NULL;
+	link = calloc(1, sizeof(*link));
+	if (link == NULL)
+		return NULL;
+	fd = socket(
+	    addr.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		goto fail;
+	pb_tune_socket(fd);
+	link->bev = bufferevent_socket_new(gw->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	if (link->bev == NULL)
+		goto fail;
+	link->gw = gw;
+	pb_init_http_reader(&link->reader, HTTP_RESPONSE, &reader_ops, link,
+	    HEAD_MAX, BODY_MAX);
+	bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
+	bufferevent_enable(link->bev, EV_READ | EV_WRITE);
+	if (bufferevent_socket_connect(
+		link->bev, (struct sockaddr *)&addr, len) != 0) {
+		bufferevent_free(link->bev);
+		free(link);
+		return NULL;
+	}
+	link->instance = pb_keep_instance(instance);
+	return link;
+fail:
+	if (fd >= 0)
+		close(fd);
+	free(link);
+	return NULL;
+}
+
+struct pb_link *
+pb_take_link(struct pb_gateway *gw, struct pb_instance *instance)
+{
+	struct pb_link *link = take_idle_link(gw, instance);
+
+	return link != NULL ? link : pb_open_link(gw, instance);
+}
+
+int
+pb_send_call(struct pb_link *link, struct pb_call *call, struct pb_str head,
+    struct pb_str body)
+{
+	link->call = call;
+	call->link = link;
+	if (bufferevent_write(link->bev, head.data, head.len) != 0 ||
+	    (body.len > 0 &&
+		bufferevent_write(link->bev, body.data, body.len) != 0))
+		return PB_ENOMEM;
+	return PB_OK;
+}
+
+void
+pb_cancel_call(struct pb_call *call)
+{
+	struct pb_link *link = call->link;
+
+	if (link == NULL)
+		return;
+	call->link = NULL;
+	link->call = NULL;
+	pb_drop_link(link);
+}
+
+void
+pb_skip_answer(struct pb_call *call)
+{
+	call->link->skipping = true;
+	call->link->tainted = true;
+}
--- /dev/null
+++ b/source/gateway/gateway-metrics.c
@@ -0,0 +1,137 @@
+#include "gateway-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BUCKETS 16 /* powers of two from 1 ms */
+#define OUTCOMES_MAX 32
+#define KINDS 3
+
+struct outcome_count {
+	const char *outcome; /* static text */
+	int64_t count[KINDS];
+};
+
+struct pb_gateway_metrics {
+	struct outcome_count outcomes[OUTCOMES_MAX];
+	size_t outcome_count;
+	int64_t latency[KINDS][BUCKETS + 1];
+	int64_t latency_sum_us[KINDS];
+};
+
+struct pb_gateway_metrics *
+pb_new_gateway_metrics(void)
+{
+	return calloc(1, sizeof(struct pb_gateway_metrics));
+}
+
+void
+pb_drop_gateway_metrics(struct pb_gateway_metrics *metrics)
+{
+	free(metrics);
+}
+
+static struct outcome_count *
+find_outcome(struct pb_gateway_metrics *m, const char *outcome)
+{
+	size_t i;
+
+	for (i = 0; i < m->outcome_count; i++) {
+		if (strcmp(m->outcomes[i].outcome, outcome) == 0)
+			return &m->outcomes[i];
+	}
+	if (m->outcome_count == OUTCOMES_MAX)
+		return &m->outcomes[OUTCOMES_MAX - 1];
+	m->outcomes[m->outcome_count].outcome = outcome;
+	return &m->outcomes[m->outcome_count++];
+}
+
+static size_t
+bucket_of(int64_t us)
+{
+	int64_t limit = PB_MSEC;
+	size_t i;
+
+	for (i = 0; i < BUCKETS && us > limit; i++)
+		limit *= 2;
+	return i;
+}
+
+void
+pb_count_outcome(struct pb_gateway_metrics *metrics, enum pb_route_kind kind,
+    const char *outcome, int64_t us)
+{
+	find_outcome(metrics, outcome)->count[kind]++;
+	metrics->latency[kind][bucket_of(us)]++;
+	metrics->latency_sum_us[kind] += us;
+}
+
+static const char *const kinds[KINDS] = {
+    "idempotent", "non_idempotent", "streaming"};
+
+static int
+format_latency(
+    const struct pb_gateway_metrics *m, size_t kind, struct pb_buf *buf)
+{
+	int64_t sum = 0, limit_ms = 1;
+	size_t i;
+	int rc = PB_OK;
+
+	for (i = 0; i <= BUCKETS && rc == PB_OK; i++, limit_ms *= 2) {
+		char le[24];
+
+		sum += m->latency[kind][i];
+		snprintf(le, sizeof(le), "%.3f", (double)limit_ms / 1000);
+		rc = pb_append_fmt(buf,
+		    "poplarbeam_request_seconds_bucket{kind=\"%s\",le=\"%s\"} "
+		    "%lld\n",
+		    kinds[kind], i == BUCKETS ? "+Inf" : le, (long long)sum);
+	}
+	if (rc == PB_OK)
+		rc = pb_append_fmt(buf,
+		    "poplarbeam_request_seconds_sum{kind=\"%s\"} %.6f\n"
+		    "poplarbeam_request_seconds_count{kind=\"%s\"} %lld\n",
+		    kinds[kind], (double)m->latency_sum_us[kind] / PB_SEC,
+		    kinds[kind], (long long)sum);
+	return rc;
+}
+
+static int
+format_state(const struct pb_gateway *gw, struct pb_buf *buf)
+{
+	int64_t now = pb_now(gw->ctx);
+	const struct pb_exchange *x;
+	int64_t in_flight = 0;
+
+	TAILQ_FOREACH(x, &gw->exchanges, entry)
+	in_flight++;
+	return pb_append_fmt(buf,
+	    "poplarbeam_requests_in_flight %lld\n"
+	    "poplarbeam_configuration_version %lld\n"
+	    "poplarbeam_configuration_age_seconds %.3f\n"
+	    "poplarbeam_instances_age_seconds %.3f\n",
+	    (long long)in_flight,
+	    gw->routing != NULL ? (long long)gw->routing->version : -1,
+	    (double)(now - pb_watch_fresh(gw->routing_watch)) / PB_SEC,
+	    (double)(now - pb_watch_fresh(gw->instance_watch)) / PB_SEC);
+}
+
+int
+pb_format_gateway_metrics(const struct pb_gateway *gw, struct pb_buf *buf)
+{
+	const struct pb_gateway_metrics *m = gw->metrics;
+	size_t i, k;
+	int rc = format_state(gw, buf);
+
+	for (i = 0; i < m->outcome_count; i++) {
+		for (k = 0; k < KINDS && rc == PB_OK; k++)
+			rc = pb_append_fmt(buf,
+			    "poplarbeam_requests_total{kind=\"%s\","
+			    "outcome=\"%s\"} %lld\n",
+			    kinds[k], m->outcomes[i].outcome,
+			    (long long)m->outcomes[i].count[k]);
+	}
+	for (k = 0; k < KINDS && rc == PB_OK; k++)
+		rc = format_latency(m, k, buf);
+	return rc;
+}
--- /dev/null
+++ b/source/gateway/gateway-net.c
@@ -0,0 +1,58 @@
+#include "gateway-internal.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* A peer that acknowledges nothing for this long is taken as gone. */
+#define SILENT_PEER_MS 1500
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_PERIOD_S 1
+#define KEEPALIVE_PROBES 2
+
+bool
+pb_parse_address(const char *text, struct sockaddr_storage *addr, int *len)
+{
+	*len = sizeof(*addr);
+	return evutil_parse_sockaddr_port(text, (struct sockaddr *)addr, len) ==
+	    0;
+}
+
+void
+pb_tune_socket(evutil_socket_t fd)
+{
+	const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {{IPPROTO_TCP, TCP_NODELAY, 1},
+	    {IPPROTO_TCP, TCP_USER_TIMEOUT, SILENT_PEER_MS},
+	    {SOL_SOCKET, SO_KEEPALIVE, 1},
+	    {IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S},
+	    {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PERIOD_S},
+	    {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES}};
+	size_t i;
+
+	/* A socket without one of these options still works. */
+	for (i = 0; i < sizeof(options) / sizeof(options[0]); i++)
+		(void)setsockopt(fd, options[i].level, options[i].name,
+		    &options[i].value, sizeof(options[i].value));
+}
+
+int
+pb_write_now(struct bufferevent *bev, struct pb_str data)
+{
+	struct evbuffer *out = bufferevent_get_output(bev);
+	ssize_t n = 0;
+
+	/* Saves two changes of the event set for most writes. */
+	if (evbuffer_get_length(out) == 0)
+		n = send(bufferevent_getfd(bev), data.data, data.len,
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (n < 0)
+		n = 0; /* the event loop meets the error again */
+	if ((size_t)n == data.len)
+		return 0;
+	return bufferevent_write(bev, data.data + n, data.len - (size_t)n);
+}
--- /dev/null
+++ b/source/gateway/gateway-ready.c
@@ -0,0 +1,75 @@
+#include "gateway-internal.h"
+
+#include <string.h>
+
+/*
+ * Share of the time for taking keys out of use after which a router that hears
+ * nothing from the store asks for no new connections.
+ */
+#define READY_FRESH_SHARE 0.6
+/* Refused callers come back after a random time in this range. */
+#define RETRY_AFTER_MIN_US (200 * PB_MSEC)
+#define RETRY_AFTER_MAX_US (800 * PB_MSEC)
+
+bool
+pb_is_ready(struct pb_gateway *gw)
+{
+	int64_t limit = (int64_t)(READY_FRESH_SHARE *
+	    (double)(gw->settings.revoke_ms * PB_MSEC));
+	int64_t age = pb_now(gw->ctx) - pb_watch_fresh(gw->routing_watch);
+
+	return gw->stop_us == 0 && gw->routing != NULL &&
+	    pb_watch_fresh(gw->instance_watch) != 0 &&
+	    (gw->settings.strict_revoke == 0 || age < limit);
+}
+
+static void
+answer_ready(struct pb_front *front)
+{
+	struct pb_gateway *gw = front->gw;
+	bool ready = pb_is_ready(gw);
+
+	if (ready != gw->ready_said)
+		pb_log(gw->ctx, PB_INFO, "readiness", NULL, NULL,
+		    "%s; configuration %lld, confirmed %lld ms ago%s",
+		    ready ? "ready" : "not ready",
+		    gw->routing != NULL ? (long long)gw->routing->version : -1,
+		    (long long)((pb_now(gw->ctx) -
+				    pb_watch_fresh(gw->routing_watch)) /
+			PB_MSEC),
+		    gw->stop_us != 0 ? "; stopping" : "");
+	gw->ready_said = ready;
+	pb_reply_front(front, ready ? 200 : 503, PB_STR_NONE, PB_STR_NONE);
+}
+
+static void
+answer_metrics(struct pb_front *front)
+{
+	struct pb_buf buf = {0};
+
+	pb_format_gateway_metrics(front->gw, &buf);
+	pb_reply_front(front, 200,
+	    pb_str_from("Content-Type: text/plain; version=0.0.4\r\n"),
+	    (struct pb_str){buf.data, buf.len});
+	pb_clear_buf(&buf);
+}
+
+const struct pb_front_ops pb_ready_ops = {answer_ready};
+const struct pb_front_ops pb_metrics_ops = {answer_metrics};
+
+void
+pb_refuse_front(struct pb_front *front, int status, int64_t left_us)
+{
+	struct pb_gateway *gw = front->gw;
+	int64_t span = RETRY_AFTER_MAX_US - RETRY_AFTER_MIN_US;
+	int64_t after = RETRY_AFTER_MIN_US +
+	    (int64_t)(pb_next_unit(&gw->rnd) * (double)span);
+	char fields[64];
+
+	/* The caller must still have time for the second try. */
+	if (after > left_us / 3)
+		after = left_us / 3;
+	snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
+	    (double)after / (double)PB_SEC);
+	pb_reply_front(front, status, pb_str_from(fields), PB_STR_NONE);
+}
--- /dev/null
+++ b/source/gateway/gateway-request.c
@@ -0,0 +1,306 @@
+#include "gateway-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * A key may have been taken away unseen for this much less than the time in
+ * which that must take effect: the store may miss announcing a change for a
+ * second.
+ */
+#define REVOKE_MARGIN_US (400 * PB_MSEC)
+#define TIME_LIMIT_MAX_MS (24 * 3600 * 1000LL)
+
+/* What a request's fields say. */
+struct request {
+	struct pb_str host;
+	struct pb_str id;
+	struct pb_str key;
+	struct pb_str connection; /* names of further fields for one hop */
+	int64_t time_limit_us; /* 0: not said */
+	struct pb_prompt prompt;
+	bool has_key;
+	bool has_last_event;
+	int64_t last_event;
+	bool has_body;
+	bool invalid;
+};
+
+static bool
+read_number(struct pb_str v, int64_t max, int64_t *out)
+{
+	int64_t n = 0;
+	size_t i;
+
+	for (i = 0; i < v.len; i++) {
+		if (v.data[i] < '0' || v.data[i] > '9' || n > max / 10)
+			return false;
+		n = n * 10 + (v.data[i] - '0');
+	}
+	*out = n;
+	return v.len > 0;
+}
+
+static void
+read_known_field(struct pb_front *front, enum pb_request_field kind,
+    struct pb_str value, struct request *req)
+{
+	const struct pb_adapter_ops *adapter = front->gw->adapter;
+	int64_t ms;
+
+	switch (kind) {
+	case PB_FIELD_REQUEST_ID:
+		if (req->id.len > 0)
+			req->invalid = true;
+		req->id = value;
+		break;
+	case PB_FIELD_TIME_LIMIT:
+		if (read_number(value, TIME_LIMIT_MAX_MS, &ms))
+			req->time_limit_us = ms * PB_MSEC;
+		break;
+	case PB_FIELD_CREDENTIAL:
+		req->has_key = adapter->read_credential(value, &req->key);
+		break;
+	case PB_FIELD_PROMPT:
+		if (!adapter->read_prompt(value, &req->prompt))
+			req->prompt.count = 0;
+		break;
+	case PB_FIELD_LAST_EVENT:
+		req->has_last_event =
+		    read_number(value, INT64_MAX / 2, &req->last_event);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+read_fields(struct pb_front *front, struct request *req)
+{
+	const struct pb_http_head *h = &front->reader.head;
+	size_t i;
+
+	for (i = 0; i < h->field_count; i++) {
+		struct pb_str name = pb_http_name(h, i);
+		struct pb_str value = pb_http_value(h, i);
+
+		if (pb_same_http_name(name, "Host")) {
+			req->invalid = req->invalid || req->host.len > 0;
+			req->host = value;
+		} else if (pb_same_http_name(name, "Connection")) {
+			req->connection = value;
+		} else if (pb_same_http_name(name, "Content-Length")) {
+			req->has_body = true;
+		} else {
+			read_known_field(front,
+			    front->gw->adapter->classify_field(name), value,
+			    req);
+		}
+	}
+}
+
+/* True for fields that the upstream gets as the caller sent them. */
+static bool
+is_passed_on(
+    struct pb_front *front, const struct request *req, struct pb_str name)
+{
+	enum pb_request_field kind = front->gw->adapter->classify_field(name);
+
+	if (pb_is_hop_field(name))
+		return false;
+	switch (kind) {
+	case PB_FIELD_FORWARD:
+		return !pb_http_list_has(req->connection, name);
+	case PB_FIELD_REQUEST_ID:
+	case PB_FIELD_PROMPT:
+		return true;
+	case PB_FIELD_LAST_EVENT:
+		return !req->has_last_event;
+	default:
+		return false;
+	}
+}
+
+static int
+copy_head(struct pb_exchange *x, const struct request *req)
+{
+	const struct pb_http_head *h = &x->front->reader.head;
+	struct pb_str target = pb_http_target(h);
+	size_t i;
+	int rc = pb_append_fmt(&x->head, "%s %.*s HTTP/1.1\r\n",
+	    http_method_str(h->method), (int)target.len, target.data);
+
+	for (i = 0; i < h->field_count && rc == PB_OK; i++) {
+		struct pb_str name = pb_http_name(h, i);
+		struct pb_str value = pb_http_value(h, i);
+
+		if (is_passed_on(x->front, req, name))
+			rc = pb_append_fmt(&x->head, "%.*s: %.*s\r\n",
+			    (int)name.len, name.data, (int)value.len,
+			    value.data);
+	}
+	return rc;
+}
+
+/*
+ * Requests with the same parts but the last share what an engine has read;
+ * the last part belongs to the request or its session.
+ */
+static void
+set_affinity(struct pb_exchange *x, const struct pb_prompt *prompt)
+{
+	uint64_t hash = 1;
+	size_t i;
+
+	for (i = 0; i < prompt->count; i++) {
+		const struct pb_prompt_part *p = &prompt->parts[i];
+
+		x->prompt_tokens += p->tokens;
+		if (i + 1 < prompt->count)
+			hash = pb_hash(p->id.data, p->id.len, hash);
+	}
+	if (prompt->count > 1)
+		x->affinity = hash;
+}
+
+static struct pb_service_budget *
+find_budget(struct pb_gateway *gw, struct pb_str service)
+{
+	struct pb_service_budget *b;
+
+	for (b = gw->budgets; b != NULL; b = b->next) {
+		if (pb_str_equal_c(service, b->service))
+			return b;
+	}
+	b = calloc(1, sizeof(*b));
+	if (b == NULL)
+		return NULL;
+	b->window =
+	    pb_new_retry_window(gw->ctx, gw->settings.retry_window_s * PB_SEC,
+		(double)gw->settings.retry_percent / 100, PB_RETRY_SLACK);
+	if (b->window == NULL || service.len >= sizeof(b->service)) {
+		pb_drop_retry_window(gw->ctx, b->window);
+		free(b);
+		return NULL;
+	}
+	memcpy(b->service, service.data, service.len);
+	b->next = gw->budgets;
+	gw->budgets = b;
+	return b;
+}
+
+static int
+fill_exchange(struct pb_exchange *x, const struct request *req,
+    const struct pb_route *route, const struct pb_account *account)
+{
+	struct pb_gateway *gw = x->gw;
+	const struct pb_backend *backend =
+	    pb_draw_backend(route, pb_next_unit(&gw->rnd));
+	int64_t limit = route->timeout_us;
+
+	if (backend == NULL)
+		return PB_ENOENT;
+	x->route = route;
+	x->account = account;
+	x->service = backend->service;
+	x->budget = find_budget(gw, backend->service);
+	x->request_id = pb_arena_str(x->arena, req->id.data, req->id.len);
+	if (limit == 0 ||
+	    (req->time_limit_us > 0 && req->time_limit_us < limit))
+		limit = req->time_limit_us;
+	x->received_us = pb_now(gw->ctx);
+	x->deadline_us = x->received_us + limit;
+	x->has_last_event = req->has_last_event;
+	x->last_event = req->last_event;
+	x->has_body = req->has_body || x->front->body.len > 0;
+	x->repeatable = route->kind == PB_ROUTE_IDEMPOTENT || route->resumable;
+	set_affinity(x, &req->prompt);
+	if (x->budget == NULL)
+		return PB_ENOMEM;
+	return copy_head(x, req);
+}
+
+static void
+reject(struct pb_front *front, const struct request *req, int status,
+    const char *why)
+{
+	struct pb_gateway *gw = front->gw;
+	char id[64];
+
+	snprintf(id, sizeof(id), "%.*s", (int)req->id.len,
+	    req->id.len > 0 ? req->id.data : "");
+	pb_log(gw->ctx, PB_INFO, "check request", NULL, id,
+	    "refused with %d: %s; configuration %lld, confirmed %lld ms ago",
+	    status, why,
+	    gw->routing != NULL ? (long long)gw->routing->version : -1,
+	    (long long)((pb_now(gw->ctx) - pb_watch_fresh(gw->routing_watch)) /
+		PB_MSEC));
+	if (status != 503) {
+		pb_reply_front(front, status, PB_STR_NONE, PB_STR_NONE);
+		return;
+	}
+	/* Another router may know more: the caller connects anew. */
+	front->close_after = true;
+	pb_refuse_front(front, status,
+	    req->time_limit_us > 0 ? req->time_limit_us : PB_SEC);
+}
+
+/* True while no key can have been taken away for too long. */
+static bool
+keys_are_current(struct pb_gateway *gw)
+{
+	int64_t age = pb_now(gw->ctx) - pb_watch_fresh(gw->routing_watch);
+
+	return gw->settings.strict_revoke == 0 ||
+	    age < gw->settings.revoke_ms * PB_MSEC - REVOKE_MARGIN_US;
+}
+
+static void
+on_request(struct pb_front *front)
+{
+	struct pb_gateway *gw = front->gw;
+	struct request req = {0};
+	const struct pb_account *account = NULL;
+	const struct pb_route *route;
+	struct pb_str target = pb_http_target(&front->reader.head);
+	struct pb_exchange *x;
+
+	read_fields(front, &req);
+	if (req.invalid || req.host.len == 0 || req.id.len == 0 ||
+	    target.len == 0 || target.data[0] != '/') {
+		front->close_after = true;
+		reject(front, &req, 400, "a field is missing or stands twice");
+		return;
+	}
+	if (gw->routing == NULL) {
+		reject(front, &req, 503, "no configuration is known yet");
+		return;
+	}
+	route = pb_find_route(gw->routing, req.host, target);
+	if (route == NULL) {
+		reject(front, &req, 404, "no route");
+		return;
+	}
+	if (gw->routing->keys_required && req.has_key)
+		account = pb_find_account(gw->routing, req.key);
+	if (gw->routing->keys_required && !route->public_access) {
+		if (!keys_are_current(gw)) {
+			reject(front, &req, 503, "keys cannot be confirmed");
+			return;
+		}
+		if (account == NULL) {
+			reject(front, &req, 401, "no account has the key");
+			return;
+		}
+	}
+	x = pb_new_exchange(front);
+	if (x == NULL || fill_exchange(x, &req, route, account) != PB_OK) {
+		pb_drop_exchange(x);
+		front->exchange = NULL;
+		reject(front, &req, 503, "out of memory, or no service");
+		return;
+	}
+	pb_start_exchange(x);
+}
+
+const struct pb_front_ops pb_caller_ops = {on_request};
--- /dev/null
+++ b/source/gateway/gateway-stop.c
@@ -0,0 +1,39 @@
+#include "gateway-internal.h"
+
+/*
+ * The balancer asks once a second and needs two refusals, so that new
+ * connections come for this long after a stop has begun.
+ */
+#define NOTICE_US (2500 * PB_MSEC)
+/* What is left of the time to stop when the process ends at the latest. */
+#define STOP_MARGIN_US (250 * PB_MSEC)
+
+void
+pb_begin_stop(struct pb_gateway *gw)
+{
+	if (gw->stop_us != 0)
+		return;
+	gw->stop_us = pb_now(gw->ctx);
+	pb_log(gw->ctx, PB_INFO, "stop", NULL, NULL,
+	    "stopping: refusing readiness, serving until callers have left");
+}
+
+void
+pb_continue_stop(struct pb_gateway *gw)
+{
+	int64_t now = pb_now(gw->ctx);
+	int64_t limit = gw->settings.stop_ms * PB_MSEC - STOP_MARGIN_US;
+
+	if (gw->stop_us == 0 || now - gw->stop_us < NOTICE_US)
+		return;
+	pb_close_idle_fronts(gw);
+	if (!TAILQ_EMPTY(&gw->exchanges) && now - gw->stop_us < limit)
+		return;
+	if (!TAILQ_EMPTY(&gw->fronts) && now - gw->stop_us < limit)
+		return;
+	pb_log(gw->ctx, PB_INFO, "stop", NULL, NULL, "stopped after %lld ms%s",
+	    (long long)((now - gw->stop_us) / PB_MSEC),
+	    TAILQ_EMPTY(&gw->exchanges) ? ""
+					: "; requests in progress are cut");
+	event_base_loopbreak(gw->base);
+}
--- /dev/null
+++ b/source/gateway/gateway-watch.c
@@ -0,0 +1,304 @@
+#include "gateway-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A store that answers nothing for this long beyond the wait is away. */
+#define ANSWER_LIMIT_US (1200 * PB_MSEC)
+#define RETRY_MIN_US (100 * PB_MSEC)
+#define RETRY_MAX_US (300 * PB_MSEC)
+/* Everything is listed anew this often, should a change have been missed. */
+#define LIST_PERIOD_US (8 * PB_SEC)
+
+struct pb_watch {
+	struct pb_call call;
+	struct pb_gateway *gw;
+	const struct pb_watch_ops *ops;
+	struct event *timer;
+	struct pb_buf answer;
+	int64_t version; /* of the store, up to which all is known */
+	int64_t sent_us; /* when the call in progress was sent */
+	int64_t list_sent_us; /* when the listing in progress began */
+	int64_t listed_us; /* start of the last complete listing */
+	int64_t fresh_us;
+	int64_t lost_us; /* since when the store is away; 0: it answers */
+	char after[256]; /* key after which the listing goes on */
+	bool listing; /* the call in progress lists */
+	bool must_list;
+	int status;
+};
+
+static void ask(struct pb_watch *w);
+
+int64_t
+pb_watch_fresh(const struct pb_watch *watch)
+{
+	return watch->fresh_us;
+}
+
+static void
+schedule(struct pb_watch *w, int64_t delay_us)
+{
+	struct timeval tv = {delay_us / PB_SEC, delay_us % PB_SEC};
+
+	evtimer_add(w->timer, &tv);
+}
+
+/* Changes may have been missed: reads everything from the start. */
+static void
+list_anew(struct pb_watch *w)
+{
+	w->must_list = true;
+	w->after[0] = '\0';
+}
+
+static void
+note_lost(struct pb_watch *w, const char *why)
+{
+	struct pb_gateway *gw = w->gw;
+	int64_t span = RETRY_MAX_US - RETRY_MIN_US;
+
+	if (w->lost_us == 0) {
+		w->lost_us = pb_now(gw->ctx);
+		pb_log(gw->ctx, PB_WARN, "watch store", gw->settings.store,
+		    NULL, "lost %s: %s; confirmed %lld ms ago", w->ops->name,
+		    why, (long long)((w->lost_us - w->fresh_us) / PB_MSEC));
+	}
+	schedule(
+	    w, RETRY_MIN_US + (int64_t)(pb_next_unit(&gw->rnd) * (double)span));
+}
+
+static void
+note_answer(struct pb_watch *w)
+{
+	struct pb_gateway *gw = w->gw;
+
+	if (w->lost_us == 0)
+		return;
+	pb_log(gw->ctx, PB_INFO, "watch store", gw->settings.store, NULL,
+	    "regained %s after %lld ms", w->ops->name,
+	    (long long)((pb_now(gw->ctx) - w->lost_us) / PB_MSEC));
+	if (w->ops->regained != NULL)
+		w->ops->regained(gw, w->lost_us);
+	w->lost_us = 0;
+}
+
+static void
+apply_rows(struct pb_watch *w, struct pb_arena *arena,
+    const struct pb_store_page *page)
+{
+	size_t i;
+
+	for (i = 0; i < page->count; i++)
+		w->ops->row(w->gw, arena, &page->rows[i]);
+}
+
+/* One page of a listing; the last one makes it complete. */
+static void
+apply_listing(struct pb_watch *w, struct pb_arena *arena,
+    const struct pb_store_page *page)
+{
+	if (w->after[0] == '\0') {
+		/* Changes from here on are in the feed. */
+		w->version = page->version;
+		if (w->ops->begin != NULL)
+			w->ops->begin(w->gw);
+	}
+	apply_rows(w, arena, page);
+	if (page->more && page->count > 0) {
+		struct pb_str key = page->rows[page->count - 1].key;
+
+		if (key.len < sizeof(w->after)) {
+			memcpy(w->after, key.data, key.len);
+			w->after[key.len] = '\0';
+			return;
+		}
+	}
+	w->after[0] = '\0';
+	w->must_list = false;
+	w->listed_us = w->list_sent_us;
+	w->fresh_us = w->list_sent_us;
+	if (w->ops->end != NULL)
+		w->ops->end(w->gw);
+}
+
+static int
+apply_page(struct pb_watch *w)
+{
+	struct pb_context *ctx = w->gw->ctx;
+	struct pb_arena *arena = pb_new_arena(ctx);
+	struct pb_store_page page;
+	int rc;
+
+	if (arena == NULL)
+		return pb_set_error(
+		    ctx, PB_ENOMEM, "watch store", NULL, "out of memory");
+	rc = w->gw->adapter->read_page(
+	    ctx, arena, (struct pb_str){w->answer.data, w->answer.len}, &page);
+	if (rc == PB_OK && w->listing) {
+		apply_listing(w, arena, &page);
+	} else if (rc == PB_OK) {
+		apply_rows(w, arena, &page);
+		if (page.version > w->version)
+			w->version = page.version;
+		w->fresh_us = w->sent_us;
+	}
+	pb_drop_arena(ctx, arena);
+	return rc;
+}
+
+static void
+on_head(struct pb_call *call)
+{
+	struct pb_watch *w = (struct pb_watch *)call;
+
+	w->status = call->link->reader.head.status;
+}
+
+static void
+on_body(struct pb_call *call, struct pb_str part)
+{
+	struct pb_watch *w = (struct pb_watch *)call;
+
+	if (pb_append_buf(&w->answer, part.data, part.len) != PB_OK)
+		w->status = 0;
+}
+
+static void
+on_done(struct pb_call *call)
+{
+	struct pb_watch *w = (struct pb_watch *)call;
+	struct pb_context *ctx = w->gw->ctx;
+	int64_t next;
+	char why[32];
+
+	evtimer_del(w->timer);
+	if (w->status == 410) {
+		pb_log(ctx, PB_INFO, "watch store", w->gw->settings.store, NULL,
+		    "the history of %s is gone; listing anew", w->ops->name);
+		list_anew(w);
+		ask(w);
+		return;
+	}
+	if (w->status != 200) {
+		snprintf(why, sizeof(why), "status %d", w->status);
+		note_lost(w, why);
+		return;
+	}
+	if (apply_page(w) != PB_OK) {
+		pb_log_error(ctx, PB_ERROR, NULL);
+		list_anew(w);
+		note_lost(w, "unreadable answer");
+		return;
+	}
+	note_answer(w);
+	next = w->sent_us + w->ops->period_us - pb_now(ctx);
+	if (next <= 0 || w->after[0] != '\0')
+		ask(w);
+	else
+		schedule(w, next);
+}
+
+static void
+on_failed(struct pb_call *call, enum pb_link_failure failure)
+{
+	struct pb_watch *w = (struct pb_watch *)call;
+
+	evtimer_del(w->timer);
+	list_anew(w);
+	note_lost(w,
+	    failure == PB_LINK_NOT_REACHED ? "not reached"
+					   : "connection broken");
+}
+
+static const struct pb_call_ops call_ops = {
+    on_head, on_body, on_done, on_failed};
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct pb_watch *w = arg;
+
+	(void)fd;
+	(void)what;
+	if (w->call.link == NULL) {
+		ask(w);
+		return;
+	}
+	pb_cancel_call(&w->call);
+	list_anew(w);
+	note_lost(w, "no answer");
+}
+
+static int
+append_question(struct pb_watch *w, struct pb_buf *buf)
+{
+	struct pb_gateway *gw = w->gw;
+
+	if (!w->listing)
+		return gw->adapter->append_watch(buf, gw->settings.store,
+		    w->ops->table, w->version, w->ops->wait_ms);
+	return gw->adapter->append_list(
+	    buf, gw->settings.store, w->ops->table, pb_str_from(w->after));
+}
+
+static void
+ask(struct pb_watch *w)
+{
+	struct pb_gateway *gw = w->gw;
+	struct pb_buf buf = {0};
+	struct pb_link *link;
+	int64_t now = pb_now(gw->ctx);
+
+	if (now - w->listed_us > LIST_PERIOD_US)
+		w->must_list = true;
+	w->listing = w->must_list;
+	w->answer.len = 0;
+	w->status = 0;
+	w->sent_us = now;
+	if (w->listing && w->after[0] == '\0')
+		w->list_sent_us = now;
+	link = pb_take_link(gw, gw->store);
+	if (link == NULL || append_question(w, &buf) != PB_OK ||
+	    pb_send_call(link, &w->call, (struct pb_str){buf.data, buf.len},
+		PB_STR_NONE) != PB_OK) {
+		pb_cancel_call(&w->call);
+		note_lost(w, "no connection");
+	} else {
+		schedule(w,
+		    ANSWER_LIMIT_US +
+			(w->listing ? 0 : w->ops->wait_ms * PB_MSEC));
+	}
+	pb_clear_buf(&buf);
+}
+
+struct pb_watch *
+pb_new_watch(struct pb_gateway *gw, const struct pb_watch_ops *ops)
+{
+	struct pb_watch *w = calloc(1, sizeof(*w));
+
+	if (w == NULL)
+		return NULL;
+	w->call.ops = &call_ops;
+	w->gw = gw;
+	w->ops = ops;
+	w->must_list = true;
+	w->timer = evtimer_new(gw->base, on_timer, w);
+	if (w->timer == NULL) {
+		free(w);
+		return NULL;
+	}
+	ask(w);
+	return w;
+}
+
+void
+pb_drop_watch(struct pb_watch *watch)
+{
+	if (watch == NULL)
+		return;
+	pb_cancel_call(&watch->call);
+	event_free(watch->timer);
+	pb_clear_buf(&watch->answer);
+	free(watch);
+}
--- /dev/null
+++ b/source/http/http-reader.c
@@ -0,0 +1,181 @@
+#include "poplarbeam/http.h"
+
+#include <string.h>
+
+static struct pb_http_reader *
+reader_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+/* Appends to the head's text; false when the head is too large. */
+static bool
+append_text(struct pb_http_reader *r, const char *at, size_t len)
+{
+	if (r->head.text.len + len > r->head_max) {
+		r->error = PB_HTTP_HEAD_TOO_LARGE;
+		return false;
+	}
+	return pb_append_buf(&r->head.text, at, len) == PB_OK;
+}
+
+static int
+on_target(http_parser *parser, const char *at, size_t len)
+{
+	struct pb_http_reader *r = reader_of(parser);
+
+	if (!append_text(r, at, len))
+		return -1;
+	r->head.target_len += len;
+	return 0;
+}
+
+static int
+on_name(http_parser *parser, const char *at, size_t len)
+{
+	struct pb_http_reader *r = reader_of(parser);
+	struct pb_http_head *h = &r->head;
+
+	if (r->in_value || h->field_count == 0) {
+		if (h->field_count == PB_HTTP_FIELDS_MAX) {
+			r->error = PB_HTTP_HEAD_TOO_LARGE;
+			return -1;
+		}
+		h->fields[h->field_count++] =
+		    (struct pb_http_field){(uint32_t)h->text.len, 0, 0, 0};
+		r->in_value = false;
+	}
+	if (!append_text(r, at, len))
+		return -1;
+	h->fields[h->field_count - 1].name_len += (uint32_t)len;
+	return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+	struct pb_http_reader *r = reader_of(parser);
+	struct pb_http_field *f = &r->head.fields[r->head.field_count - 1];
+
+	if (!r->in_value) {
+		f->value = (uint32_t)r->head.text.len;
+		r->in_value = true;
+	}
+	if (!append_text(r, at, len))
+		return -1;
+	f->value_len += (uint32_t)len;
+	return 0;
+}
+
+static int
+on_head_done(http_parser *parser)
+{
+	struct pb_http_reader *r = reader_of(parser);
+
+	r->head_done = true;
+	r->head.method = parser->method;
+	r->head.status = parser->status_code;
+	r->head.keep_alive = http_should_keep_alive(parser) != 0;
+	if (r->ops != NULL && r->ops->head != NULL)
+		r->ops->head(r);
+	return r->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+	struct pb_http_reader *r = reader_of(parser);
+
+	r->body_len += len;
+	if (r->body_len > r->body_max) {
+		r->error = PB_HTTP_BODY_TOO_LARGE;
+		return -1;
+	}
+	if (r->ops != NULL && r->ops->body != NULL)
+		r->ops->body(r, (struct pb_str){at, len});
+	return 0;
+}
+
+static int
+on_done(http_parser *parser)
+{
+	struct pb_http_reader *r = reader_of(parser);
+
+	r->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+void
+pb_init_http_reader(struct pb_http_reader *reader, enum http_parser_type type,
+    const struct pb_http_ops *ops, void *owner, size_t head_max,
+    size_t body_max)
+{
+	memset(reader, 0, sizeof(*reader));
+	reader->ops = ops;
+	reader->owner = owner;
+	reader->head_max = head_max;
+	reader->body_max = body_max;
+	http_parser_init(&reader->parser, type);
+	reader->parser.data = reader;
+}
+
+void
+pb_clear_http_reader(struct pb_http_reader *reader)
+{
+	pb_clear_buf(&reader->head.text);
+}
+
+void
+pb_reset_http_reader(struct pb_http_reader *reader)
+{
+	enum http_parser_type type = reader->parser.type;
+
+	http_parser_init(&reader->parser, type);
+	reader->parser.data = reader;
+	reader->head.text.len = 0;
+	reader->head.field_count = 0;
+	reader->head.target_len = 0;
+	reader->head.status = 0;
+	reader->body_len = 0;
+	reader->in_value = false;
+	reader->started = false;
+	reader->head_done = false;
+	reader->complete = false;
+	reader->no_body = false;
+	reader->error = PB_HTTP_OK;
+}
+
+static const http_parser_settings callbacks = {.on_url = on_target,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head_done,
+    .on_body = on_body,
+    .on_message_complete = on_done};
+
+size_t
+pb_feed_http(struct pb_http_reader *reader, const char *data, size_t len)
+{
+	enum http_errno err;
+	size_t n;
+
+	if (reader->complete || reader->error != PB_HTTP_OK)
+		return 0;
+	reader->started = reader->started || len > 0;
+	n = http_parser_execute(&reader->parser, &callbacks, data, len);
+	err = HTTP_PARSER_ERRNO(&reader->parser);
+	if (err != HPE_OK && err != HPE_PAUSED && reader->error == PB_HTTP_OK)
+		reader->error = PB_HTTP_MALFORMED;
+	return n;
+}
+
+bool
+pb_finish_http(struct pb_http_reader *reader)
+{
+	if (reader->complete)
+		return true;
+	if (reader->error != PB_HTTP_OK || !reader->head_done)
+		return false;
+	http_parser_execute(&reader->parser, &callbacks, NULL, 0);
+	return reader->complete;
+}
--- /dev/null
+++ b/source/registry/registry-choose.c
@@ -0,0 +1,197 @@
+#include "registry-internal.h"
+
+#include <float.h>
+
+/* A prefix goes to its preferred instance up to this multiple of the mean. */
+#define AFFINITY_FACTOR 1.3
+/* Requests above the multiple that never count as imbalance. */
+#define AFFINITY_FLOOR 2.0
+/* Load, in requests, that a hop to another failure domain is worth. */
+#define DOMAIN_PENALTY 1.5
+/* What others sent is taken as finished when a report is this old. */
+#define REPORT_FRESH_US PB_SEC
+#define REPORT_FADE_US (4 * PB_SEC)
+/* Share of failed requests above which an instance is avoided. */
+#define FAILURE_SHARE 0.35
+/* Decayed failures below which the share says too little. */
+#define FAILURES_MIN 2.0
+
+/* Requests on an instance: its report, corrected by this router's own. */
+static double
+estimate_load(const struct pb_instance *inst, int64_t now)
+{
+	double others = inst->reported - inst->reported_own;
+	int64_t age = now - inst->reported_us;
+
+	if (inst->reported_us == 0 || others < 0)
+		others = 0;
+	if (age > REPORT_FRESH_US + REPORT_FADE_US)
+		others = 0;
+	else if (age > REPORT_FRESH_US)
+		others *= 1 -
+		    (double)(age - REPORT_FRESH_US) / (double)REPORT_FADE_US;
+	return others + inst->in_flight;
+}
+
+static bool
+is_excluded(const struct pb_placement *p, const struct pb_instance *inst)
+{
+	size_t i;
+
+	for (i = 0; i < p->excluded_count; i++) {
+		if (p->excluded[i] == inst)
+			return true;
+	}
+	return false;
+}
+
+static bool
+is_failing(const struct pb_instance *inst)
+{
+	return inst->failures >= FAILURES_MIN &&
+	    inst->failures > FAILURE_SHARE * inst->outcomes;
+}
+
+static bool
+is_open(const struct pb_placement *p, const struct pb_instance *inst)
+{
+	return !inst->draining && pb_str_equal_c(p->service, inst->service);
+}
+
+/* How much of an instance's health is asked for. */
+enum demand {
+	DEMAND_SOUND, /* reachable and not failing */
+	DEMAND_REACHABLE,
+	DEMAND_ANY
+};
+
+static bool
+meets(const struct pb_instance *inst, enum demand demand, int64_t now)
+{
+	if (demand != DEMAND_ANY && now < inst->avoid_until_us)
+		return false;
+	return demand != DEMAND_SOUND || !is_failing(inst);
+}
+
+struct survey {
+	size_t open;
+	size_t sound;
+	size_t reachable;
+	double sum; /* of the open instances' loads */
+};
+
+static struct survey
+survey_service(
+    const struct pb_registry *reg, const struct pb_placement *p, int64_t now)
+{
+	struct survey s = {0};
+	size_t i;
+
+	for (i = 0; i < reg->count; i++) {
+		const struct pb_instance *inst = reg->instances[i];
+
+		if (!is_open(p, inst))
+			continue;
+		s.open++;
+		s.sum += estimate_load(inst, now);
+		if (is_excluded(p, inst))
+			continue;
+		s.sound += meets(inst, DEMAND_SOUND, now);
+		s.reachable += meets(inst, DEMAND_REACHABLE, now);
+	}
+	return s;
+}
+
+/* When most instances fail, avoiding them would only overload the rest. */
+static enum demand
+pick_demand(const struct survey *s)
+{
+	if (s->sound > 0 && s->sound * 2 >= s->open)
+		return DEMAND_SOUND;
+	return s->reachable > 0 ? DEMAND_REACHABLE : DEMAND_ANY;
+}
+
+/* The preferred instance of a prefix among those that are below the bound. */
+static struct pb_instance *
+choose_by_prefix(const struct pb_registry *reg, const struct pb_placement *p,
+    enum demand demand, double bound, bool own_domain, int64_t now)
+{
+	struct pb_instance *best = NULL;
+	uint64_t best_score = 0;
+	size_t i;
+
+	for (i = 0; i < reg->count; i++) {
+		struct pb_instance *inst = reg->instances[i];
+		uint64_t score;
+
+		if (!is_open(p, inst) || is_excluded(p, inst) ||
+		    !meets(inst, demand, now))
+			continue;
+		if (own_domain && !pb_str_equal_c(p->domain, inst->domain))
+			continue;
+		if (estimate_load(inst, now) + 1 > bound)
+			continue;
+		score = pb_hash_pair(p->affinity, inst->hash);
+		if (best == NULL || score > best_score) {
+			best = inst;
+			best_score = score;
+		}
+	}
+	return best;
+}
+
+/* The least loaded instance, with a preference for the own domain. */
+static struct pb_instance *
+choose_by_load(const struct pb_registry *reg, const struct pb_placement *p,
+    enum demand demand, int64_t now)
+{
+	struct pb_instance *best = NULL;
+	double best_cost = DBL_MAX;
+	size_t i;
+
+	for (i = 0; i < reg->count; i++) {
+		struct pb_instance *inst = reg->instances[i];
+		double cost;
+
+		if (!is_open(p, inst) || is_excluded(p, inst) ||
+		    !meets(inst, demand, now))
+			continue;
+		cost = estimate_load(inst, now) + pb_next_unit(p->rnd);
+		if (!pb_str_equal_c(p->domain, inst->domain))
+			cost += DOMAIN_PENALTY;
+		if (cost < best_cost) {
+			best = inst;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+struct pb_instance *
+pb_choose_instance(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_placement *placement, struct pb_placement_facts *facts)
+{
+	int64_t now = pb_now(ctx);
+	struct survey s = survey_service(registry, placement, now);
+	double mean = s.open > 0 ? s.sum / (double)s.open : 0;
+	double bound = AFFINITY_FACTOR * mean + AFFINITY_FLOOR;
+	enum demand demand = pick_demand(&s);
+	struct pb_instance *inst = NULL;
+
+	if (placement->affinity != 0)
+		inst = choose_by_prefix(
+		    registry, placement, demand, bound, true, now);
+	if (placement->affinity != 0 && inst == NULL)
+		inst = choose_by_prefix(
+		    registry, placement, demand, bound, false, now);
+	facts->preferred = inst != NULL;
+	if (inst == NULL)
+		inst = choose_by_load(registry, placement, demand, now);
+	facts->candidates = s.open;
+	facts->mean = mean;
+	facts->estimate = inst != NULL ? estimate_load(inst, now) : 0;
+	facts->report_age_us = -1;
+	if (inst != NULL && inst->reported_us != 0)
+		facts->report_age_us = now - inst->reported_us;
+	return inst;
+}
--- /dev/null
+++ b/source/registry/registry-list.c
@@ -0,0 +1,280 @@
+#include "registry-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct pb_registry *
+pb_new_registry(
+    struct pb_context *ctx, const struct pb_registry_ops *ops, void *owner)
+{
+	struct pb_registry *registry = calloc(1, sizeof(*registry));
+
+	(void)ctx;
+	if (registry == NULL)
+		return NULL;
+	registry->ops = ops;
+	registry->owner = owner;
+	return registry;
+}
+
+struct pb_instance *
+pb_new_instance(const char *id, const char *address)
+{
+	struct pb_instance *inst = calloc(1, sizeof(*inst));
+
+	if (inst == NULL)
+		return NULL;
+	inst->refs = 1;
+	pb_copy_str(inst->id, sizeof(inst->id), id);
+	pb_copy_str(inst->address, sizeof(inst->address), address);
+	inst->hash = pb_hash_cstr(id, 0);
+	return inst;
+}
+
+struct pb_instance *
+pb_keep_instance(struct pb_instance *instance)
+{
+	instance->refs++;
+	return instance;
+}
+
+void
+pb_drop_instance(struct pb_instance *instance)
+{
+	if (instance != NULL && --instance->refs == 0)
+		free(instance);
+}
+
+/* The instance takes no new request from now on. */
+static void
+close_instance(struct pb_registry *registry, struct pb_instance *inst)
+{
+	if (registry->ops != NULL && registry->ops->closed != NULL)
+		registry->ops->closed(registry->owner, inst);
+}
+
+static void
+forget_at(struct pb_registry *registry, size_t i)
+{
+	struct pb_instance *inst = registry->instances[i];
+
+	registry->instances[i] = registry->instances[--registry->count];
+	inst->gone = true;
+	close_instance(registry, inst);
+	pb_drop_instance(inst);
+}
+
+void
+pb_drop_registry(struct pb_context *ctx, struct pb_registry *registry)
+{
+	(void)ctx;
+	if (registry == NULL)
+		return;
+	while (registry->count > 0)
+		forget_at(registry, registry->count - 1);
+	free(registry->instances);
+	free(registry);
+}
+
+static bool
+find_index(const struct pb_registry *registry, struct pb_str id, size_t *at)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		if (pb_str_equal_c(id, registry->instances[i]->id)) {
+			*at = i;
+			return true;
+		}
+	}
+	return false;
+}
+
+struct pb_instance *
+pb_find_instance(const struct pb_registry *registry, struct pb_str id)
+{
+	size_t i;
+
+	return find_index(registry, id, &i) ? registry->instances[i] : NULL;
+}
+
+static void
+copy_text(char *dst, struct pb_str src)
+{
+	memcpy(dst, src.data, src.len);
+	dst[src.len] = '\0';
+}
+
+static bool
+fits(struct pb_str text)
+{
+	return text.len > 0 && text.len < PB_INSTANCE_TEXT;
+}
+
+/* True if the entry is about another process than the known one. */
+static bool
+is_other_process(
+    const struct pb_instance *inst, const struct pb_instance_entry *e)
+{
+	return !pb_str_equal_c(e->address, inst->address) ||
+	    !pb_str_equal_c(e->service, inst->service) ||
+	    (e->started_ms != 0 && inst->started_ms != 0 &&
+		e->started_ms != inst->started_ms);
+}
+
+static struct pb_instance *
+add_instance(struct pb_registry *registry, const struct pb_instance_entry *e)
+{
+	char id[PB_INSTANCE_TEXT], address[PB_INSTANCE_TEXT];
+	struct pb_instance *inst;
+
+	if (registry->count == registry->cap) {
+		size_t cap = registry->cap == 0 ? 16 : registry->cap * 2;
+		struct pb_instance **p = realloc(
+		    registry->instances, cap * sizeof(struct pb_instance *));
+
+		if (p == NULL)
+			return NULL;
+		registry->instances = p;
+		registry->cap = cap;
+	}
+	copy_text(id, e->id);
+	copy_text(address, e->address);
+	inst = pb_new_instance(id, address);
+	if (inst == NULL)
+		return NULL;
+	copy_text(inst->service, e->service);
+	registry->instances[registry->count++] = inst;
+	return inst;
+}
+
+int
+pb_apply_instance(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_instance_entry *entry)
+{
+	struct pb_instance *inst;
+	size_t i;
+
+	if (!fits(entry->id) || !fits(entry->service) ||
+	    !fits(entry->address) || entry->domain.len >= PB_INSTANCE_TEXT)
+		return pb_set_error(ctx, PB_EINVAL, "list instances", NULL,
+		    "an entry has a text that is empty or too long");
+	if (find_index(registry, entry->id, &i) &&
+	    is_other_process(registry->instances[i], entry)) {
+		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
+		    "%s restarted; its load is no longer known",
+		    registry->instances[i]->id);
+		forget_at(registry, i);
+	}
+	inst = pb_find_instance(registry, entry->id);
+	if (inst == NULL) {
+		inst = add_instance(registry, entry);
+		if (inst == NULL)
+			return pb_set_error(ctx, PB_ENOMEM, "list instances",
+			    NULL, "out of memory");
+		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
+		    "%s of %s joined at %s", inst->id, inst->service,
+		    inst->address);
+	}
+	copy_text(inst->domain, entry->domain);
+	inst->slots = entry->slots;
+	inst->started_ms = entry->started_ms;
+	inst->lapse_us = 0;
+	inst->listed = true;
+	if (entry->draining && !inst->draining) {
+		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
+		    "%s is draining", inst->id);
+		inst->draining = true;
+		close_instance(registry, inst);
+	}
+	inst->draining = entry->draining;
+	return PB_OK;
+}
+
+static void
+remove_at(struct pb_context *ctx, struct pb_registry *registry, size_t i)
+{
+	struct pb_instance *inst = registry->instances[i];
+
+	if (pb_now(ctx) < registry->defer_until_us && !inst->draining) {
+		if (inst->lapse_us == 0) {
+			inst->lapse_us = registry->defer_until_us;
+			pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
+			    "the entry of %s lapsed while the store was away; "
+			    "kept for %lld ms",
+			    inst->id,
+			    (long long)((inst->lapse_us - pb_now(ctx)) /
+				PB_MSEC));
+		}
+		return;
+	}
+	pb_log(ctx, PB_INFO, "list instances", NULL, NULL, "%s left", inst->id);
+	forget_at(registry, i);
+}
+
+void
+pb_remove_instance(
+    struct pb_context *ctx, struct pb_registry *registry, struct pb_str id)
+{
+	size_t i;
+
+	if (find_index(registry, id, &i))
+		remove_at(ctx, registry, i);
+}
+
+void
+pb_begin_listing(struct pb_registry *registry)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++)
+		registry->instances[i]->listed = false;
+}
+
+void
+pb_end_listing(struct pb_context *ctx, struct pb_registry *registry)
+{
+	size_t i;
+
+	for (i = registry->count; i-- > 0;) {
+		if (!registry->instances[i]->listed &&
+		    registry->instances[i]->lapse_us == 0)
+			remove_at(ctx, registry, i);
+	}
+}
+
+void
+pb_defer_removals(struct pb_registry *registry, int64_t until_us)
+{
+	registry->defer_until_us = until_us;
+}
+
+void
+pb_expire_instances(struct pb_context *ctx, struct pb_registry *registry)
+{
+	int64_t now = pb_now(ctx);
+	size_t i;
+
+	for (i = registry->count; i-- > 0;) {
+		struct pb_instance *inst = registry->instances[i];
+
+		if (inst->lapse_us == 0 || now < inst->lapse_us)
+			continue;
+		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
+		    "%s did not come back", inst->id);
+		forget_at(registry, i);
+	}
+}
+
+size_t
+pb_count_instances(const struct pb_registry *registry, struct pb_str service)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < registry->count; i++) {
+		const struct pb_instance *inst = registry->instances[i];
+
+		n += !inst->draining && pb_str_equal_c(service, inst->service);
+	}
+	return n;
+}
--- /dev/null
+++ b/source/registry/registry-load.c
@@ -0,0 +1,47 @@
+#include "registry-internal.h"
+
+#include <math.h>
+
+/* Counts of outcomes lose half of their weight in this time. */
+#define OUTCOME_HALF_LIFE_US (2 * PB_SEC)
+/* How long an instance that could not be reached gets no new request. */
+#define AVOID_US (800 * PB_MSEC)
+
+void
+pb_note_dispatch(struct pb_instance *instance)
+{
+	instance->in_flight++;
+}
+
+void
+pb_note_release(struct pb_instance *instance)
+{
+	instance->in_flight--;
+}
+
+void
+pb_note_load(struct pb_context *ctx, struct pb_instance *instance, int requests)
+{
+	instance->reported = requests;
+	instance->reported_own = instance->in_flight;
+	instance->reported_us = pb_now(ctx);
+}
+
+void
+pb_note_outcome(
+    struct pb_context *ctx, struct pb_instance *instance, bool failed)
+{
+	int64_t now = pb_now(ctx);
+	double age = (double)(now - instance->outcomes_us);
+	double keep = exp2(-age / (double)OUTCOME_HALF_LIFE_US);
+
+	instance->failures = instance->failures * keep + (failed ? 1 : 0);
+	instance->outcomes = instance->outcomes * keep + 1;
+	instance->outcomes_us = now;
+}
+
+void
+pb_note_unreachable(struct pb_context *ctx, struct pb_instance *instance)
+{
+	instance->avoid_until_us = pb_now(ctx) + AVOID_US;
+}
