--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -114,7 +114,7 @@
 /* The preferred instance of a prefix among those that are below the bound. */
 static struct pb_instance *
 choose_by_prefix(const struct pb_registry *reg, const struct pb_placement *p,
-    enum demand demand, double bound, bool own_domain, int64_t now)
+    enum demand demand, double bound, int64_t now)
 {
 	struct pb_instance *best = NULL;
 	uint64_t best_score = 0;
@@ -127,8 +127,6 @@
 		if (!is_open(p, inst) || is_excluded(p, inst) ||
 		    !meets(inst, demand, now))
 			continue;
-		if (own_domain && !pb_str_equal_c(p->domain, inst->domain))
-			continue;
 		if (estimate_load(inst, now) + 1 > bound)
 			continue;
 		score = pb_hash_pair(p->affinity, inst->hash);
@@ -179,11 +177,8 @@
 	struct pb_instance *inst = NULL;
 
 	if (placement->affinity != 0)
-		inst = choose_by_prefix(
-		    registry, placement, demand, bound, true, now);
-	if (placement->affinity != 0 && inst == NULL)
-		inst = choose_by_prefix(
-		    registry, placement, demand, bound, false, now);
+		inst =
+		    choose_by_prefix(registry, placement, demand, bound, now);
 	facts->preferred = inst != NULL;
 	if (inst == NULL)
 		inst = choose_by_load(registry, placement, demand, now);
