Refuse late in a stop what its end would cut; fetch fewer versions in a storm

Cause 2: the return of the store was noted after its answer was applied, so removals in that answer were not deferred. Cause 3: a rejection that did not run used up the route's attempts.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -264,7 +264,9 @@
 		return;
 	}
 	log_failed_attempt(x, x->spoiled ? "spoiled answer" : "failure");
-	if (!x->facts.not_run)
+	if (x->facts.not_run)
+		x->attempts--;
+	else
 		x->may_have_run = true;
 	if ((x->facts.not_run || x->repeatable) && pb_take_attempt(x)) {
 		pb_next_attempt(x);
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -15,12 +15,19 @@
 
 /* How long the store may hold a question about the configuration. */
 #define ROUTING_WAIT_MS 900
-#define ROUTING_PERIOD_US 0
+/*
+ * Versions that follow each other faster are not all fetched: a large
+ * configuration would fill the link of a small machine.
+ */
+#define ROUTING_PERIOD_US (500 * PB_MSEC)
+#define ROUTING_LIST_PERIOD_US (60 * PB_SEC)
 /*
  * Heartbeats change the list all the time, so that a held question would
  * return at once; the list is asked for changes this often instead.
  */
 #define INSTANCE_PERIOD_US (700 * PB_MSEC)
+/* Catches changes that a watch has missed. */
+#define INSTANCE_LIST_PERIOD_US (8 * PB_SEC)
 
 static void
 put_routing_in_force(struct pb_gateway *gw, struct pb_routing *routing)
@@ -105,10 +112,11 @@
 
 static const struct pb_watch_ops routing_watch = {on_routing_row, NULL, NULL,
     NULL, PB_STORE_OPERATOR, "the configuration", ROUTING_WAIT_MS,
-    ROUTING_PERIOD_US};
+    ROUTING_PERIOD_US, ROUTING_LIST_PERIOD_US};
 static const struct pb_watch_ops instance_watch = {on_instance_row,
     on_instances_begin, on_instances_end, on_instances_regained,
-    PB_STORE_INSTANCES, "the list of instances", 0, INSTANCE_PERIOD_US};
+    PB_STORE_INSTANCES, "the list of instances", 0, INSTANCE_PERIOD_US,
+    INSTANCE_LIST_PERIOD_US};
 static const struct pb_registry_ops registry_ops = {on_instance_closed};
 
 static int64_t
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -200,6 +200,7 @@
 	const char *name;
 	int wait_ms; /* how long the store may hold a question */
 	int64_t period_us; /* shortest time between two questions */
+	int64_t list_period_us; /* everything is listed anew this often */
 };
 
 struct pb_watch *pb_new_watch(
@@ -236,7 +237,7 @@
 	struct pb_instance *instance; /* of the attempt in progress; counted */
 	struct pb_instance *tried[PB_TRIED_MAX]; /* counted */
 	size_t tried_count;
-	int attempts; /* that may have reached an upstream */
+	int attempts; /* that an upstream may have run */
 	bool may_have_run;
 	bool repeatable; /* may run more than once */
 	/* The answer. */
@@ -286,6 +287,11 @@
 
 /* gateway-stop.c */
 void pb_begin_stop(struct pb_gateway *gw);
+/*
+ * False when a stop is so far on that a request of this timeout could be cut
+ * by its end.
+ */
+bool pb_admits_request(const struct pb_gateway *gw, int64_t timeout_us);
 /* Called by every sweep. */
 void pb_continue_stop(struct pb_gateway *gw);
 
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -293,6 +293,10 @@
 			return;
 		}
 	}
+	if (!pb_admits_request(gw, route->timeout_us)) {
+		reject(front, &req, 503, "stopping");
+		return;
+	}
 	x = pb_new_exchange(front);
 	if (x == NULL || fill_exchange(x, &req, route, account) != PB_OK) {
 		pb_drop_exchange(x);
--- a/source/gateway/gateway-stop.c
+++ b/source/gateway/gateway-stop.c
@@ -8,6 +8,24 @@
 /* What is left of the time to stop when the process ends at the latest. */
 #define STOP_MARGIN_US (250 * PB_MSEC)
 
+/* Requests that come this early in a stop may be cut at its end. */
+#define ADMIT_US (2800 * PB_MSEC)
+
+static int64_t
+stop_limit(const struct pb_gateway *gw)
+{
+	return gw->settings.stop_ms * PB_MSEC - STOP_MARGIN_US;
+}
+
+bool
+pb_admits_request(const struct pb_gateway *gw, int64_t timeout_us)
+{
+	int64_t since = pb_now(gw->ctx) - gw->stop_us;
+
+	return gw->stop_us == 0 || since <= ADMIT_US ||
+	    timeout_us <= stop_limit(gw) - since;
+}
+
 void
 pb_begin_stop(struct pb_gateway *gw)
 {
@@ -22,7 +40,7 @@
 pb_continue_stop(struct pb_gateway *gw)
 {
 	int64_t now = pb_now(gw->ctx);
-	int64_t limit = gw->settings.stop_ms * PB_MSEC - STOP_MARGIN_US;
+	int64_t limit = stop_limit(gw);
 
 	if (gw->stop_us == 0 || now - gw->stop_us < NOTICE_US)
 		return;
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -7,8 +7,6 @@
 #define ANSWER_LIMIT_US (1200 * PB_MSEC)
 #define RETRY_MIN_US (100 * PB_MSEC)
 #define RETRY_MAX_US (300 * PB_MSEC)
-/* Everything is listed anew this often, should a change have been missed. */
-#define LIST_PERIOD_US (8 * PB_SEC)
 
 struct pb_watch {
 	struct pb_call call;
@@ -185,13 +183,14 @@
 		note_lost(w, why);
 		return;
 	}
+	/* First the return of the store, then what it says. */
+	note_answer(w);
 	if (apply_page(w) != PB_OK) {
 		pb_log_error(ctx, PB_ERROR, NULL);
 		list_anew(w);
 		note_lost(w, "unreadable answer");
 		return;
 	}
-	note_answer(w);
 	next = w->sent_us + w->ops->period_us - pb_now(ctx);
 	if (next <= 0 || w->after[0] != '\0')
 		ask(w);
@@ -250,7 +249,7 @@
 	struct pb_link *link;
 	int64_t now = pb_now(gw->ctx);
 
-	if (now - w->listed_us > LIST_PERIOD_US)
+	if (now - w->listed_us > w->ops->list_period_us)
 		w->must_list = true;
 	w->listing = w->must_list;
 	w->answer.len = 0;
