--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 # rpcgen output is exempt from warnings that its generator causes.
-$(B)/source/peer/peer_%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
+$(B)/source/peer/peer_%.o $(B)/source/gateway/changes_%.o: CFLAGS += -Wno-unused-variable -Wno-missing-prototypes \
     -Wno-unused-parameter -Wno-strict-prototypes
 
 $(LIB): $(LIB_OBJ)
--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -61,13 +61,15 @@
 
 enum pb_store_table {
 	PB_STORE_OPERATOR, /* the operator's configuration */
-	PB_STORE_INSTANCES /* the upstreams that announce themselves */
+	PB_STORE_INSTANCES, /* the upstreams that announce themselves */
+	PB_STORE_ROUTERS /* the routers, each by its own row */
 };
 
 struct pb_store_row {
 	struct pb_str key;
 	struct pb_str value; /* decoded; empty if removed */
 	bool removed;
+	int64_t version; /* of the store at its last change */
 };
 
 struct pb_store_page {
@@ -93,6 +95,8 @@
 	    enum pb_store_table table, struct pb_str after_key);
 	int (*append_watch)(struct pb_buf *buf, const char *host,
 	    enum pb_store_table table, int64_t since_version, int wait_ms);
+	int (*append_put)(struct pb_buf *buf, const char *host,
+	    enum pb_store_table table, struct pb_str key, struct pb_str value);
 	int (*read_page)(struct pb_context *ctx, struct pb_arena *arena,
 	    struct pb_str body, struct pb_store_page *page);
 	/* True if the row of the operator's table is the configuration. */
--- a/include/poplarbeam/gateway.h
+++ b/include/poplarbeam/gateway.h
@@ -16,6 +16,7 @@
 	char caller[48]; /* address for callers */
 	char ready[48]; /* address for the question whether it is ready */
 	char metrics[48]; /* address for metrics */
+	char peer[48]; /* address for other routers */
 	char store[48]; /* address of the platform's store */
 	char log_level[12];
 	long log_lines_per_s;
--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -36,6 +36,7 @@
 	bool draining;
 	bool gone; /* no longer listed */
 	bool listed; /* seen in the listing that is being read */
+	uint64_t sequence; /* of the registry at its last change */
 	int64_t lapse_us; /* when its removal takes effect; 0: not removed */
 	int64_t started_ms;
 	int in_flight; /* requests of this router */
@@ -89,6 +90,26 @@
 struct pb_instance *pb_find_instance(
     const struct pb_registry *registry, struct pb_str id);
 
+/* One change of the list, for routers that follow this one. */
+struct pb_change {
+	struct pb_str id;
+	const struct pb_instance *instance; /* NULL: it is gone */
+};
+
+/* Differs from that of every other registry. */
+uint64_t pb_registry_epoch(const struct pb_registry *registry);
+/* Grows with every change of the list. */
+uint64_t pb_registry_sequence(const struct pb_registry *registry);
+/* True if the changes after since are no longer all known. */
+bool pb_needs_full_list(
+    const struct pb_registry *registry, uint64_t epoch, uint64_t since);
+/*
+ * Stores up to cap changes after since, or all instances if full, and returns
+ * how many there are.
+ */
+size_t pb_read_changes(const struct pb_registry *registry, uint64_t since,
+    bool full, struct pb_change *changes, size_t cap);
+
 /* A request was handed to the instance, or ended there. */
 void pb_note_dispatch(struct pb_instance *instance);
 void pb_note_release(struct pb_instance *instance);
@@ -99,6 +120,8 @@
     struct pb_context *ctx, struct pb_instance *instance, bool failed);
 /* Keeps new requests away for a while. */
 void pb_note_unreachable(struct pb_context *ctx, struct pb_instance *instance);
+void pb_note_unreachable_for(
+    struct pb_context *ctx, struct pb_instance *instance, int64_t us);
 
 struct pb_placement {
 	struct pb_str service;
--- /dev/null
+++ b/source/gateway/changes.x
@@ -0,0 +1,48 @@
+/*
+ * Messages between gateways and the row by which they find each other. After
+ * a change:
+ *   rpcgen -M -h changes.x >changes.h; rpcgen -M -c changes.x >changes_xdr.c
+ */
+
+const CHANGE_TEXT_MAX = 64;	/* bytes */
+
+typedef string change_text<CHANGE_TEXT_MAX>;
+
+/* One upstream instance as it is now. */
+struct change_entry {
+	change_text id;
+	bool gone;
+	change_text service;
+	change_text address;
+	change_text domain;
+	int slots;
+	bool draining;
+	hyper started_ms;
+};
+
+/* What has changed since? */
+struct change_question {
+	unsigned hyper epoch;
+	unsigned hyper since;
+	hyper routing_row;	/* store version of the known configuration */
+};
+
+struct change_answer {
+	unsigned hyper epoch;	/* of the answering process */
+	unsigned hyper sequence;
+	bool full;		/* entries replace all that is known */
+	hyper routing_row;
+	/*
+	 * Microseconds from the moment at which the knowledge was current to
+	 * the arrival of the question; negative when it was renewed since.
+	 */
+	hyper routing_age;
+	hyper instances_age;
+	change_entry entries<>;
+};
+
+/* Value of a router's row in the store. */
+struct router_row {
+	change_text domain;
+	change_text address;	/* for other routers */
+};
--- /dev/null
+++ b/source/gateway/gateway-announce.c
@@ -0,0 +1,140 @@
+#include "changes.h"
+#include "gateway-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ANSWER_LIMIT_US (2 * PB_SEC)
+#define RETRY_US PB_SEC
+#define ROW_MAX 256 /* bytes */
+
+struct pb_announce {
+	struct pb_call call;
+	struct pb_gateway *gw;
+	struct event *timer;
+	int status;
+	bool done;
+};
+
+static void announce_row(struct pb_announce *a);
+
+static void
+schedule(struct pb_announce *a, int64_t delay_us)
+{
+	struct timeval tv = {delay_us / PB_SEC, delay_us % PB_SEC};
+
+	evtimer_add(a->timer, &tv);
+}
+
+static void
+on_head(struct pb_call *call)
+{
+	((struct pb_announce *)call)->status = call->link->reader.head.status;
+}
+
+static void
+on_body(struct pb_call *call, struct pb_str part)
+{
+	(void)call;
+	(void)part;
+}
+
+static void
+on_done(struct pb_call *call)
+{
+	struct pb_announce *a = (struct pb_announce *)call;
+
+	evtimer_del(a->timer);
+	if (a->status == 200) {
+		a->done = true;
+		pb_log(a->gw->ctx, PB_INFO, "announce", NULL, NULL,
+		    "this router is in the list of routers");
+		return;
+	}
+	schedule(a, RETRY_US);
+}
+
+static void
+on_failed(struct pb_call *call, enum pb_link_failure failure)
+{
+	(void)failure;
+	/* The row is the same each time, so a write may be done twice. */
+	schedule((struct pb_announce *)call, RETRY_US);
+}
+
+static const struct pb_call_ops call_ops = {
+    on_head, on_body, on_done, on_failed};
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct pb_announce *a = arg;
+
+	(void)fd;
+	(void)what;
+	pb_cancel_call(&a->call);
+	announce_row(a);
+}
+
+static size_t
+encode_row(const struct pb_gateway_settings *settings, char *out, size_t cap)
+{
+	struct router_row row = {
+	    (char *)settings->domain, (char *)settings->peer};
+	XDR xdr;
+	size_t n = 0;
+
+	xdrmem_create(&xdr, out, (u_int)cap, XDR_ENCODE);
+	if (xdr_router_row(&xdr, &row))
+		n = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return n;
+}
+
+static void
+announce_row(struct pb_announce *a)
+{
+	struct pb_gateway *gw = a->gw;
+	struct pb_link *link = pb_take_link(gw, gw->store);
+	struct pb_buf buf = {0};
+	char row[ROW_MAX];
+	size_t n = encode_row(&gw->settings, row, sizeof(row));
+
+	if (link != NULL &&
+	    (gw->adapter->append_put(&buf, gw->settings.store, PB_STORE_ROUTERS,
+		 pb_str_from(gw->settings.instance),
+		 (struct pb_str){row, n}) != PB_OK ||
+		pb_send_call(link, &a->call, (struct pb_str){buf.data, buf.len},
+		    PB_STR_NONE) != PB_OK))
+		pb_cancel_call(&a->call);
+	pb_clear_buf(&buf);
+	schedule(a, ANSWER_LIMIT_US);
+}
+
+struct pb_announce *
+pb_new_announce(struct pb_gateway *gw)
+{
+	struct pb_announce *a = calloc(1, sizeof(*a));
+
+	if (a == NULL)
+		return NULL;
+	a->gw = gw;
+	a->call.ops = &call_ops;
+	a->timer = evtimer_new(gw->base, on_timer, a);
+	if (a->timer == NULL) {
+		free(a);
+		return NULL;
+	}
+	announce_row(a);
+	return a;
+}
+
+void
+pb_drop_announce(struct pb_announce *announce)
+{
+	if (announce == NULL)
+		return;
+	pb_cancel_call(&announce->call);
+	event_free(announce->timer);
+	free(announce);
+}
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -5,104 +5,6 @@
 #include <sys/stat.h>
 
 #define SWEEP_US (100 * PB_MSEC)
-/*
- * Entries that expired while the store was away are back this long after its
- * return, if their instances live.
- */
-#define LAPSE_US (2200 * PB_MSEC)
-/* A shorter absence of the store makes no entry expire. */
-#define LAPSE_MIN_US PB_SEC
-
-/* How long the store may hold a question about the configuration. */
-#define ROUTING_WAIT_MS 900
-/*
- * Versions that follow each other faster are not all fetched: a large
- * configuration would fill the link of a small machine.
- */
-#define ROUTING_PERIOD_US (500 * PB_MSEC)
-#define ROUTING_LIST_PERIOD_US (60 * PB_SEC)
-/*
- * Heartbeats change the list all the time, so that a held question would
- * return at once; the list is asked for changes this often instead.
- */
-#define INSTANCE_PERIOD_US (700 * PB_MSEC)
-/* Catches changes that a watch has missed. */
-#define INSTANCE_LIST_PERIOD_US (8 * PB_SEC)
-
-static void
-put_routing_in_force(struct pb_gateway *gw, struct pb_routing *routing)
-{
-	if (gw->routing != NULL && routing->version <= gw->routing->version) {
-		pb_drop_routing(gw->ctx, routing);
-		return;
-	}
-	pb_log(gw->ctx, PB_INFO, "configuration", NULL, NULL,
-	    "version %lld in force, before %lld: %zu routes, %zu services, "
-	    "%zu accounts, %zu keys",
-	    (long long)routing->version,
-	    gw->routing != NULL ? (long long)gw->routing->version : -1,
-	    routing->route_count, routing->service_count,
-	    routing->account_count, routing->key_count);
-	pb_drop_routing(gw->ctx, gw->routing);
-	gw->routing = routing;
-	gw->routing_us = pb_now(gw->ctx);
-}
-
-static void
-on_routing_row(struct pb_gateway *gw, struct pb_arena *arena,
-    const struct pb_store_row *row)
-{
-	struct pb_routing *routing;
-
-	(void)arena;
-	if (row->removed || !gw->adapter->is_routing_key(row->key))
-		return;
-	routing = gw->adapter->read_routing(gw->ctx, row->value);
-	if (routing == NULL)
-		pb_log_error(gw->ctx, PB_ERROR, NULL);
-	else
-		put_routing_in_force(gw, routing);
-}
-
-static void
-on_instance_row(struct pb_gateway *gw, struct pb_arena *arena,
-    const struct pb_store_row *row)
-{
-	struct pb_instance_entry entry;
-	int rc = PB_EPROTO;
-
-	if (!row->removed)
-		rc = gw->adapter->read_instance(gw->ctx, arena, row, &entry);
-	if (rc == PB_OK)
-		rc = pb_apply_instance(gw->ctx, gw->registry, &entry);
-	if (rc == PB_OK)
-		return;
-	if (!row->removed)
-		pb_log_error(gw->ctx, PB_WARN, NULL);
-	pb_remove_instance(gw->ctx, gw->registry, row->key);
-}
-
-static void
-on_instances_begin(struct pb_gateway *gw)
-{
-	pb_begin_listing(gw->registry);
-}
-
-static void
-on_instances_end(struct pb_gateway *gw)
-{
-	pb_end_listing(gw->ctx, gw->registry);
-}
-
-static void
-on_instances_regained(struct pb_gateway *gw, int64_t since_us)
-{
-	int64_t now = pb_now(gw->ctx);
-
-	if (now - since_us >= LAPSE_MIN_US)
-		pb_defer_removals(gw->registry, now + LAPSE_US);
-}
-
 static void
 on_instance_closed(void *owner, struct pb_instance *instance)
 {
@@ -110,13 +12,6 @@
 	pb_drop_idle_links(instance);
 }
 
-static const struct pb_watch_ops routing_watch = {on_routing_row, NULL, NULL,
-    NULL, PB_STORE_OPERATOR, "the configuration", ROUTING_WAIT_MS,
-    ROUTING_PERIOD_US, ROUTING_LIST_PERIOD_US};
-static const struct pb_watch_ops instance_watch = {on_instance_row,
-    on_instances_begin, on_instances_end, on_instances_regained,
-    PB_STORE_INSTANCES, "the list of instances", 0, INSTANCE_PERIOD_US,
-    INSTANCE_LIST_PERIOD_US};
 static const struct pb_registry_ops registry_ops = {on_instance_closed};
 
 static int64_t
@@ -143,6 +38,7 @@
 	pb_copy_str(next.caller, sizeof(next.caller), gw->settings.caller);
 	pb_copy_str(next.ready, sizeof(next.ready), gw->settings.ready);
 	pb_copy_str(next.metrics, sizeof(next.metrics), gw->settings.metrics);
+	pb_copy_str(next.peer, sizeof(next.peer), gw->settings.peer);
 	pb_copy_str(next.store, sizeof(next.store), gw->settings.store);
 	gw->settings = next;
 	pb_log(gw->ctx, PB_INFO, "reload", NULL, NULL,
@@ -173,6 +69,7 @@
 	(void)fd;
 	(void)what;
 	pb_sweep_fronts(gw);
+	pb_answer_held(gw);
 	pb_expire_instances(gw->ctx, gw->registry);
 	pb_continue_stop(gw);
 	if (file_time_ns(gw->path) != gw->settings_time_ns)
@@ -190,8 +87,10 @@
 	    pb_listen_front(gw, &gw->ready_entrance, s->ready, &pb_ready_ops);
 	gw->metrics_listener = pb_listen_front(
 	    gw, &gw->metrics_entrance, s->metrics, &pb_metrics_ops);
+	gw->peer_listener =
+	    pb_listen_front(gw, &gw->peer_entrance, s->peer, &pb_peer_ops);
 	if (gw->caller_listener == NULL || gw->ready_listener == NULL ||
-	    gw->metrics_listener == NULL)
+	    gw->metrics_listener == NULL || gw->peer_listener == NULL)
 		return gw->ctx->error.code;
 	return PB_OK;
 }
@@ -233,9 +132,14 @@
 	    gw->store == NULL)
 		return pb_set_error(
 		    gw->ctx, PB_ENOMEM, "start", NULL, "out of memory");
-	gw->routing_watch = pb_new_watch(gw, &routing_watch);
-	gw->instance_watch = pb_new_watch(gw, &instance_watch);
-	if (gw->routing_watch == NULL || gw->instance_watch == NULL)
+	gw->follow = pb_new_follow(gw);
+	gw->announce = pb_new_announce(gw);
+	gw->routing_watch = pb_new_watch(gw, &pb_routing_watch_ops);
+	gw->instance_watch = pb_new_watch(gw, &pb_instance_watch_ops);
+	gw->router_watch = pb_new_watch(gw, &pb_router_watch_ops);
+	if (gw->follow == NULL || gw->announce == NULL ||
+	    gw->routing_watch == NULL || gw->instance_watch == NULL ||
+	    gw->router_watch == NULL)
 		return pb_set_error(
 		    gw->ctx, PB_ENOMEM, "start", NULL, "out of memory");
 	return PB_OK;
@@ -324,8 +228,13 @@
 	drop_listener(gw->caller_listener);
 	drop_listener(gw->ready_listener);
 	drop_listener(gw->metrics_listener);
+	drop_listener(gw->peer_listener);
+	pb_drop_follow(gw->follow);
+	gw->follow = NULL;
+	pb_drop_announce(gw->announce);
 	pb_drop_watch(gw->routing_watch);
 	pb_drop_watch(gw->instance_watch);
+	pb_drop_watch(gw->router_watch);
 	if (gw->store != NULL)
 		pb_drop_idle_links(gw->store);
 	pb_drop_instance(gw->store);
@@ -335,6 +244,7 @@
 	drop_event(gw->term_signal);
 	drop_event(gw->reload_signal);
 	pb_drop_routing(gw->ctx, gw->routing);
+	pb_clear_buf(&gw->routing_text);
 	pb_drop_gateway_metrics(gw->metrics);
 	if (gw->base != NULL)
 		event_base_free(gw->base);
--- /dev/null
+++ b/source/gateway/gateway-follow.c
@@ -0,0 +1,394 @@
+#include "changes.h"
+#include "gateway-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The first router of a failure domain, in the order of their hashes, reads
+ * the store; the others ask it. Calls to the store then grow with the number
+ * of domains and not with that of routers.
+ */
+
+/* Given to the routers of a fleet that starts to announce themselves. */
+#define FIRST_LIST_US (2 * PB_SEC)
+#define ANSWER_LIMIT_US (1100 * PB_MSEC)
+#define RETRY_US (100 * PB_MSEC)
+/* Gathers changes that follow each other closely in one answer. */
+#define ASK_PAUSE_US (50 * PB_MSEC)
+#define NO_PEER_RETRY_US (2 * PB_SEC)
+/* A router that does not answer is left alone for this long. */
+#define AVOID_US (5 * PB_SEC)
+/* A router that has not heard from the store itself is of no use. */
+#define AGE_MAX_US (2500 * PB_MSEC)
+
+struct candidate {
+	struct pb_instance *router; /* its hash gives the order */
+	struct candidate *next;
+};
+
+struct pb_follow {
+	struct pb_call call;
+	struct pb_gateway *gw;
+	struct event *timer;
+	struct candidate *candidates; /* of the own domain, before this one */
+	struct pb_instance *peer; /* asked now; counted */
+	struct pb_buf answer;
+	uint64_t own_hash;
+	uint64_t epoch; /* of the router followed; 0: none */
+	uint64_t since;
+	int64_t sent_us;
+	int status;
+	bool following;
+	bool listed; /* the list of routers was read after the start */
+};
+
+static void ask_peer(struct pb_follow *f);
+
+bool
+pb_is_following(const struct pb_follow *follow)
+{
+	return follow != NULL && follow->following;
+}
+
+static void
+schedule(struct pb_follow *f, int64_t delay_us)
+{
+	struct timeval tv = {delay_us / PB_SEC, delay_us % PB_SEC};
+
+	evtimer_add(f->timer, &tv);
+}
+
+static void
+stop_following(struct pb_follow *f, const char *why)
+{
+	struct pb_gateway *gw = f->gw;
+
+	if (f->peer != NULL) {
+		pb_note_unreachable_for(gw->ctx, f->peer, AVOID_US);
+		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
+		    "%s%s", f->following ? "no longer followed: " : "", why);
+		pb_drop_instance(f->peer);
+		f->peer = NULL;
+	}
+	f->epoch = 0;
+	schedule(f, RETRY_US);
+	if (!f->following)
+		return;
+	f->following = false;
+	pb_resume_watch(gw->routing_watch);
+	pb_resume_watch(gw->instance_watch);
+}
+
+static struct pb_instance *
+choose_peer(struct pb_follow *f)
+{
+	struct pb_instance *best = NULL;
+	struct candidate *c;
+
+	for (c = f->candidates; c != NULL; c = c->next) {
+		if (pb_now(f->gw->ctx) < c->router->avoid_until_us)
+			continue;
+		if (best == NULL || c->router->hash < best->hash)
+			best = c->router;
+	}
+	return best;
+}
+
+static void
+apply_entry(struct pb_gateway *gw, const struct change_entry *e)
+{
+	struct pb_instance_entry entry = {.id = pb_str_from(e->id),
+	    .service = pb_str_from(e->service),
+	    .address = pb_str_from(e->address),
+	    .domain = pb_str_from(e->domain),
+	    .slots = e->slots,
+	    .draining = e->draining,
+	    .started_ms = e->started_ms};
+
+	if (e->gone)
+		pb_remove_instance(gw->ctx, gw->registry, entry.id);
+	else if (pb_apply_instance(gw->ctx, gw->registry, &entry) != PB_OK)
+		pb_log_error(gw->ctx, PB_ERROR, NULL);
+}
+
+static void
+apply_changes(struct pb_follow *f, const struct change_answer *a)
+{
+	struct pb_gateway *gw = f->gw;
+	u_int i;
+
+	/* The ages count to the arrival of the question, after sent_us. */
+	pb_note_instances_fresh(gw, f->sent_us - a->instances_age);
+	if (a->full)
+		pb_begin_listing(gw->registry);
+	for (i = 0; i < a->entries.entries_len; i++)
+		apply_entry(gw, &a->entries.entries_val[i]);
+	if (a->full)
+		pb_end_listing(gw->ctx, gw->registry);
+	f->epoch = a->epoch;
+	f->since = a->sequence;
+	if (a->routing_row == gw->routing_row)
+		pb_note_routing_fresh(gw, f->sent_us - a->routing_age);
+	else if (a->routing_row > gw->routing_row)
+		pb_list_now(gw->routing_watch);
+}
+
+static void
+use_answer(struct pb_follow *f, const struct change_answer *a)
+{
+	struct pb_gateway *gw = f->gw;
+
+	if (a->routing_age > AGE_MAX_US || a->instances_age > AGE_MAX_US) {
+		stop_following(f, "its knowledge is old");
+		return;
+	}
+	apply_changes(f, a);
+	if (!f->following)
+		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
+		    "followed instead of the store; %u entries, instances "
+		    "confirmed %lld ms ago",
+		    a->entries.entries_len,
+		    (long long)(a->instances_age / PB_MSEC));
+	f->following = true;
+	schedule(f, ASK_PAUSE_US);
+}
+
+static void
+on_head(struct pb_call *call)
+{
+	((struct pb_follow *)call)->status = call->link->reader.head.status;
+}
+
+static void
+on_body(struct pb_call *call, struct pb_str part)
+{
+	struct pb_follow *f = (struct pb_follow *)call;
+
+	if (pb_append_buf(&f->answer, part.data, part.len) != PB_OK)
+		f->status = 0;
+}
+
+static void
+on_done(struct pb_call *call)
+{
+	struct pb_follow *f = (struct pb_follow *)call;
+	struct change_answer answer;
+	XDR xdr;
+
+	evtimer_del(f->timer);
+	if (f->status != 200 || f->answer.len == 0) {
+		stop_following(f, "it does not know enough");
+		return;
+	}
+	memset(&answer, 0, sizeof(answer));
+	xdrmem_create(&xdr, f->answer.data, (u_int)f->answer.len, XDR_DECODE);
+	if (xdr_change_answer(&xdr, &answer))
+		use_answer(f, &answer);
+	else
+		stop_following(f, "its answer cannot be read");
+	xdr_destroy(&xdr);
+	xdr_free((xdrproc_t)xdr_change_answer, (char *)&answer);
+}
+
+static void
+on_failed(struct pb_call *call, enum pb_link_failure failure)
+{
+	struct pb_follow *f = (struct pb_follow *)call;
+
+	evtimer_del(f->timer);
+	stop_following(f,
+	    failure == PB_LINK_NOT_REACHED ? "not reached"
+					   : "connection broken");
+}
+
+static const struct pb_call_ops call_ops = {
+    on_head, on_body, on_done, on_failed};
+
+static int
+append_question(struct pb_follow *f, struct pb_buf *buf)
+{
+	struct change_question q = {f->epoch, f->since, f->gw->routing_row};
+	char body[64];
+	XDR xdr;
+	u_int n = 0;
+	int rc;
+
+	xdrmem_create(&xdr, body, sizeof(body), XDR_ENCODE);
+	if (xdr_change_question(&xdr, &q))
+		n = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	rc = pb_append_fmt(buf,
+	    "POST " PB_CHANGES_PATH " HTTP/1.1\r\nHost: %s\r\n"
+	    "Content-Length: %u\r\n\r\n",
+	    f->peer->address, n);
+	return rc == PB_OK ? pb_append_buf(buf, body, n) : rc;
+}
+
+static void
+ask_peer(struct pb_follow *f)
+{
+	struct pb_gateway *gw = f->gw;
+	struct pb_link *link = pb_take_link(gw, f->peer);
+	struct pb_buf buf = {0};
+
+	f->answer.len = 0;
+	f->status = 0;
+	f->sent_us = pb_now(gw->ctx);
+	schedule(f, ANSWER_LIMIT_US);
+	if (link == NULL || append_question(f, &buf) != PB_OK ||
+	    pb_send_call(link, &f->call, (struct pb_str){buf.data, buf.len},
+		PB_STR_NONE) != PB_OK) {
+		pb_cancel_call(&f->call);
+		stop_following(f, "no connection");
+	}
+	pb_clear_buf(&buf);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct pb_follow *f = arg;
+	struct pb_instance *peer;
+
+	(void)fd;
+	(void)what;
+	if (f->call.link != NULL) {
+		pb_cancel_call(&f->call);
+		stop_following(f, "no answer");
+		return;
+	}
+	if (f->peer != NULL) {
+		ask_peer(f);
+		return;
+	}
+	if (!f->listed) {
+		f->listed = true;
+		pb_list_now(f->gw->router_watch);
+		schedule(f, NO_PEER_RETRY_US);
+		return;
+	}
+	peer = f->gw->stop_us == 0 ? choose_peer(f) : NULL;
+	if (peer == NULL) {
+		schedule(f, NO_PEER_RETRY_US);
+		return;
+	}
+	f->peer = pb_keep_instance(peer);
+	f->epoch = 0;
+	f->since = 0;
+	ask_peer(f);
+}
+
+static void
+forget_candidate(struct pb_follow *f, struct pb_str id)
+{
+	struct candidate **p = &f->candidates;
+
+	while (*p != NULL) {
+		struct candidate *c = *p;
+
+		if (!pb_str_equal_c(id, c->router->id)) {
+			p = &c->next;
+			continue;
+		}
+		*p = c->next;
+		c->router->gone = true;
+		pb_drop_idle_links(c->router);
+		pb_drop_instance(c->router);
+		free(c);
+	}
+}
+
+static bool
+knows_candidate(
+    const struct pb_follow *f, struct pb_str id, const char *address)
+{
+	const struct candidate *c;
+
+	for (c = f->candidates; c != NULL; c = c->next) {
+		if (pb_str_equal_c(id, c->router->id))
+			return strcmp(c->router->address, address) == 0;
+	}
+	return false;
+}
+
+static void
+add_candidate(struct pb_follow *f, struct pb_str id, const char *address)
+{
+	struct candidate *c;
+	char name[PB_INSTANCE_TEXT];
+
+	if (knows_candidate(f, id, address))
+		return;
+	forget_candidate(f, id);
+	if (id.len >= sizeof(name))
+		return;
+	memcpy(name, id.data, id.len);
+	name[id.len] = '\0';
+	/* Only routers before this one are asked, so that none asks back. */
+	if (pb_hash_cstr(name, 0) >= f->own_hash)
+		return;
+	c = calloc(1, sizeof(*c));
+	if (c == NULL)
+		return;
+	c->router = pb_new_instance(name, address);
+	if (c->router == NULL) {
+		free(c);
+		return;
+	}
+	c->next = f->candidates;
+	f->candidates = c;
+}
+
+void
+pb_apply_router_row(struct pb_follow *follow, const struct pb_store_row *row)
+{
+	struct router_row value = {0};
+	XDR xdr;
+
+	if (row->removed || row->value.len == 0) {
+		forget_candidate(follow, row->key);
+		return;
+	}
+	xdrmem_create(
+	    &xdr, (char *)row->value.data, (u_int)row->value.len, XDR_DECODE);
+	if (xdr_router_row(&xdr, &value) &&
+	    strcmp(value.domain, follow->gw->settings.domain) == 0)
+		add_candidate(follow, row->key, value.address);
+	xdr_destroy(&xdr);
+	xdr_free((xdrproc_t)xdr_router_row, (char *)&value);
+}
+
+struct pb_follow *
+pb_new_follow(struct pb_gateway *gw)
+{
+	struct pb_follow *f = calloc(1, sizeof(*f));
+
+	if (f == NULL)
+		return NULL;
+	f->gw = gw;
+	f->call.ops = &call_ops;
+	f->own_hash = pb_hash_cstr(gw->settings.instance, 0);
+	f->timer = evtimer_new(gw->base, on_timer, f);
+	if (f->timer == NULL) {
+		free(f);
+		return NULL;
+	}
+	schedule(f, FIRST_LIST_US);
+	return f;
+}
+
+void
+pb_drop_follow(struct pb_follow *follow)
+{
+	if (follow == NULL)
+		return;
+	pb_cancel_call(&follow->call);
+	while (follow->candidates != NULL)
+		forget_candidate(
+		    follow, pb_str_from(follow->candidates->router->id));
+	pb_drop_instance(follow->peer);
+	event_free(follow->timer);
+	pb_clear_buf(&follow->answer);
+	free(follow);
+}
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -15,6 +15,8 @@
 struct pb_exchange;
 struct pb_watch;
 struct pb_gateway_metrics;
+struct pb_follow;
+struct pb_announce;
 
 /* Repeats that a router may send whatever its traffic. */
 #define PB_RETRY_SLACK 2
@@ -49,6 +51,8 @@
 	struct pb_entrance caller_entrance;
 	struct pb_entrance ready_entrance;
 	struct pb_entrance metrics_entrance;
+	struct evconnlistener *peer_listener;
+	struct pb_entrance peer_entrance;
 	struct event *sweep_timer;
 	struct event *term_signal;
 	struct event *reload_signal;
@@ -56,10 +60,17 @@
 	struct pb_exchange_list exchanges;
 	struct pb_routing *routing; /* NULL: none read yet */
 	int64_t routing_us; /* when it was put in force */
+	int64_t routing_row; /* store version of its row */
+	struct pb_buf routing_text; /* its row, for other routers */
 	struct pb_registry *registry;
 	struct pb_instance *store; /* the platform's store */
 	struct pb_watch *routing_watch;
 	struct pb_watch *instance_watch;
+	struct pb_watch *router_watch;
+	struct pb_follow *follow;
+	struct pb_announce *announce;
+	int64_t routing_fresh_us; /* the routing was current then; 0: never */
+	int64_t instances_fresh_us; /* the same for the instances */
 	struct pb_service_budget *budgets;
 	struct pb_gateway_metrics *metrics;
 	struct pb_random rnd;
@@ -148,6 +159,7 @@
 	struct pb_buf body;
 	struct pb_exchange *exchange; /* NULL: no request in progress */
 	int64_t activity_us; /* last start or end of a message */
+	int64_t held_us; /* since when a question is held; 0: it is not */
 	bool handling; /* a request is complete and not yet answered */
 	bool reading;
 	bool chunked; /* the answer in progress is sent in chunks */
@@ -194,8 +206,14 @@
 	/* A listing replaces all that is known; may be NULL. */
 	void (*begin)(struct pb_gateway *gw);
 	void (*end)(struct pb_gateway *gw);
-	/* The store answered again after it was away since since_us. */
-	void (*regained)(struct pb_gateway *gw, int64_t since_us);
+	/* Called before an answer is applied that was current at fresh_us. */
+	void (*fresh)(struct pb_gateway *gw, int64_t fresh_us);
+	/*
+	 * The store hands out every version of a row, one after the other; a
+	 * listing after a change goes straight to the newest one.
+	 */
+	bool lists_after_change;
+	bool pauses; /* does not ask while the router follows another one */
 	enum pb_store_table table;
 	const char *name;
 	int wait_ms; /* how long the store may hold a question */
@@ -206,8 +224,42 @@
 struct pb_watch *pb_new_watch(
     struct pb_gateway *gw, const struct pb_watch_ops *ops);
 void pb_drop_watch(struct pb_watch *watch);
-/* What is known held at this moment; 0: nothing is known. */
-int64_t pb_watch_fresh(const struct pb_watch *watch);
+/* Asks at once if the watch had paused. */
+void pb_resume_watch(struct pb_watch *watch);
+/* Lists everything as soon as possible, paused or not. */
+void pb_list_now(struct pb_watch *watch);
+
+/* gateway-state.c: what is known and until when it was current. */
+extern const struct pb_watch_ops pb_routing_watch_ops;
+extern const struct pb_watch_ops pb_instance_watch_ops;
+extern const struct pb_watch_ops pb_router_watch_ops;
+/* Puts the row's configuration in force unless it is older. */
+void pb_apply_routing_row(
+    struct pb_gateway *gw, struct pb_str value, int64_t row_version);
+void pb_note_routing_fresh(struct pb_gateway *gw, int64_t fresh_us);
+/*
+ * Entries may have expired if the list was not heard for long: their removal
+ * is deferred. Call before what was heard is applied.
+ */
+void pb_note_instances_fresh(struct pb_gateway *gw, int64_t fresh_us);
+
+/* gateway-follow.c: learns from another router instead of from the store. */
+struct pb_follow *pb_new_follow(struct pb_gateway *gw);
+void pb_drop_follow(struct pb_follow *follow);
+bool pb_is_following(const struct pb_follow *follow);
+void pb_apply_router_row(
+    struct pb_follow *follow, const struct pb_store_row *row);
+
+/* gateway-announce.c: writes this router's row, once. */
+struct pb_announce *pb_new_announce(struct pb_gateway *gw);
+void pb_drop_announce(struct pb_announce *announce);
+
+/* gateway-peer.c: answers other routers. */
+#define PB_CHANGES_PATH "/changes"
+#define PB_ROUTING_PATH "/routing"
+extern const struct pb_front_ops pb_peer_ops;
+/* Answers held questions that have an answer now or were held for long. */
+void pb_answer_held(struct pb_gateway *gw);
 
 /* gateway-exchange.c: one request and its attempts at upstreams. */
 
--- a/source/gateway/gateway-metrics.c
+++ b/source/gateway/gateway-metrics.c
@@ -112,8 +112,8 @@
 	    "poplarbeam_instances_age_seconds %.3f\n",
 	    (long long)in_flight,
 	    gw->routing != NULL ? (long long)gw->routing->version : -1,
-	    (double)(now - pb_watch_fresh(gw->routing_watch)) / PB_SEC,
-	    (double)(now - pb_watch_fresh(gw->instance_watch)) / PB_SEC);
+	    (double)(now - gw->routing_fresh_us) / PB_SEC,
+	    (double)(now - gw->instances_fresh_us) / PB_SEC);
 }
 
 int
--- /dev/null
+++ b/source/gateway/gateway-peer.c
@@ -0,0 +1,160 @@
+#include "changes.h"
+#include "gateway-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A question waits this long for a change. */
+#define HOLD_US (500 * PB_MSEC)
+
+static bool
+decode_question(struct pb_front *front, struct change_question *q)
+{
+	XDR xdr;
+	bool ok;
+
+	memset(q, 0, sizeof(*q));
+	if (front->body.len == 0)
+		return false;
+	xdrmem_create(
+	    &xdr, front->body.data, (u_int)front->body.len, XDR_DECODE);
+	ok = xdr_change_question(&xdr, q);
+	xdr_destroy(&xdr);
+	return ok;
+}
+
+static void
+fill_entry(struct change_entry *e, const struct pb_change *c)
+{
+	const struct pb_instance *inst = c->instance;
+
+	memset(e, 0, sizeof(*e));
+	e->id = (char *)c->id.data;
+	e->gone = inst == NULL;
+	e->service = inst != NULL ? (char *)inst->service : "";
+	e->address = inst != NULL ? (char *)inst->address : "";
+	e->domain = inst != NULL ? (char *)inst->domain : "";
+	if (inst == NULL)
+		return;
+	e->slots = inst->slots;
+	e->draining = inst->draining;
+	e->started_ms = inst->started_ms;
+}
+
+static int
+encode_answer(struct change_answer *answer, struct pb_buf *buf)
+{
+	u_long size = xdr_sizeof((xdrproc_t)xdr_change_answer, answer);
+	char *data = malloc(size);
+	XDR xdr;
+	int rc = PB_ENOMEM;
+
+	if (data == NULL)
+		return rc;
+	xdrmem_create(&xdr, data, (u_int)size, XDR_ENCODE);
+	if (xdr_change_answer(&xdr, answer))
+		rc = pb_append_buf(buf, data, xdr_getpos(&xdr));
+	xdr_destroy(&xdr);
+	free(data);
+	return rc;
+}
+
+static int
+build_answer(
+    struct pb_front *front, const struct change_question *q, struct pb_buf *buf)
+{
+	struct pb_gateway *gw = front->gw;
+	struct change_answer answer = {0};
+	struct pb_change *changes;
+	size_t i, n;
+	int rc;
+
+	answer.epoch = pb_registry_epoch(gw->registry);
+	answer.sequence = pb_registry_sequence(gw->registry);
+	answer.full = pb_needs_full_list(gw->registry, q->epoch, q->since);
+	answer.routing_row = gw->routing_row;
+	answer.routing_age = front->held_us - gw->routing_fresh_us;
+	answer.instances_age = front->held_us - gw->instances_fresh_us;
+	n = pb_read_changes(gw->registry, q->since, answer.full, NULL, 0);
+	changes = calloc(n + 1, sizeof(*changes));
+	answer.entries.entries_val =
+	    calloc(n + 1, sizeof(*answer.entries.entries_val));
+	if (changes == NULL || answer.entries.entries_val == NULL) {
+		rc = PB_ENOMEM;
+		goto out;
+	}
+	pb_read_changes(gw->registry, q->since, answer.full, changes, n);
+	for (i = 0; i < n; i++)
+		fill_entry(&answer.entries.entries_val[i], &changes[i]);
+	answer.entries.entries_len = (u_int)n;
+	rc = encode_answer(&answer, buf);
+out:
+	free(changes);
+	free(answer.entries.entries_val);
+	return rc;
+}
+
+static void
+answer_question(struct pb_front *front, const struct change_question *q)
+{
+	struct pb_buf buf = {0};
+	int rc = build_answer(front, q, &buf);
+
+	front->held_us = 0;
+	pb_reply_front(front, rc == PB_OK ? 200 : 503, PB_STR_NONE,
+	    (struct pb_str){buf.data, buf.len});
+	pb_clear_buf(&buf);
+}
+
+static bool
+has_news(struct pb_gateway *gw, const struct change_question *q)
+{
+	return q->epoch != pb_registry_epoch(gw->registry) ||
+	    q->since != pb_registry_sequence(gw->registry) ||
+	    q->routing_row != gw->routing_row;
+}
+
+static void
+on_question(struct pb_front *front)
+{
+	struct pb_gateway *gw = front->gw;
+	struct pb_str target = pb_http_target(&front->reader.head);
+	struct change_question q;
+
+	if (gw->routing == NULL || gw->instances_fresh_us == 0 ||
+	    gw->stop_us != 0) {
+		pb_reply_front(front, 503, PB_STR_NONE, PB_STR_NONE);
+		return;
+	}
+	if (pb_str_equal_c(target, PB_ROUTING_PATH)) {
+		pb_reply_front(front, 200, PB_STR_NONE,
+		    (struct pb_str){
+			gw->routing_text.data, gw->routing_text.len});
+		return;
+	}
+	if (!decode_question(front, &q)) {
+		pb_reply_front(front, 400, PB_STR_NONE, PB_STR_NONE);
+		return;
+	}
+	front->held_us = pb_now(gw->ctx);
+	if (has_news(gw, &q))
+		answer_question(front, &q);
+}
+
+const struct pb_front_ops pb_peer_ops = {on_question};
+
+void
+pb_answer_held(struct pb_gateway *gw)
+{
+	int64_t now = pb_now(gw->ctx);
+	struct pb_front *front, *next;
+	struct change_question q;
+
+	for (front = TAILQ_FIRST(&gw->fronts); front != NULL; front = next) {
+		next = TAILQ_NEXT(front, entry);
+		if (front->held_us == 0 || !decode_question(front, &q))
+			continue;
+		if (now - front->held_us >= HOLD_US || has_news(gw, &q))
+			answer_question(front, &q);
+	}
+}
--- a/source/gateway/gateway-ready.c
+++ b/source/gateway/gateway-ready.c
@@ -6,7 +6,7 @@
  * Share of the time for taking keys out of use after which a router that hears
  * nothing from the store asks for no new connections.
  */
-#define READY_FRESH_SHARE 0.6
+#define READY_FRESH_SHARE 0.8
 /* Refused callers come back after a random time in this range. */
 #define RETRY_AFTER_MIN_US (200 * PB_MSEC)
 #define RETRY_AFTER_MAX_US (800 * PB_MSEC)
@@ -16,10 +16,10 @@
 {
 	int64_t limit = (int64_t)(READY_FRESH_SHARE *
 	    (double)(gw->settings.revoke_ms * PB_MSEC));
-	int64_t age = pb_now(gw->ctx) - pb_watch_fresh(gw->routing_watch);
+	int64_t age = pb_now(gw->ctx) - gw->routing_fresh_us;
 
 	return gw->stop_us == 0 && gw->routing != NULL &&
-	    pb_watch_fresh(gw->instance_watch) != 0 &&
+	    gw->instances_fresh_us != 0 &&
 	    (gw->settings.strict_revoke == 0 || age < limit);
 }
 
@@ -34,8 +34,7 @@
 		    "%s; configuration %lld, confirmed %lld ms ago%s",
 		    ready ? "ready" : "not ready",
 		    gw->routing != NULL ? (long long)gw->routing->version : -1,
-		    (long long)((pb_now(gw->ctx) -
-				    pb_watch_fresh(gw->routing_watch)) /
+		    (long long)((pb_now(gw->ctx) - gw->routing_fresh_us) /
 			PB_MSEC),
 		    gw->stop_us != 0 ? "; stopping" : "");
 	gw->ready_said = ready;
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -233,8 +233,7 @@
 	    "refused with %d: %s; configuration %lld, confirmed %lld ms ago",
 	    status, why,
 	    gw->routing != NULL ? (long long)gw->routing->version : -1,
-	    (long long)((pb_now(gw->ctx) - pb_watch_fresh(gw->routing_watch)) /
-		PB_MSEC));
+	    (long long)((pb_now(gw->ctx) - gw->routing_fresh_us) / PB_MSEC));
 	if (status != 503) {
 		pb_reply_front(front, status, PB_STR_NONE, PB_STR_NONE);
 		return;
@@ -249,7 +248,7 @@
 static bool
 keys_are_current(struct pb_gateway *gw)
 {
-	int64_t age = pb_now(gw->ctx) - pb_watch_fresh(gw->routing_watch);
+	int64_t age = pb_now(gw->ctx) - gw->routing_fresh_us;
 
 	return gw->settings.strict_revoke == 0 ||
 	    age < gw->settings.revoke_ms * PB_MSEC - REVOKE_MARGIN_US;
--- a/source/gateway/gateway-settings.c
+++ b/source/gateway/gateway-settings.c
@@ -23,6 +23,7 @@
     TEXT("caller", caller, NULL),
     TEXT("ready", ready, NULL),
     TEXT("metrics", metrics, NULL),
+    TEXT("peer", peer, NULL),
     TEXT("store", store, NULL),
     TEXT("log_level", log_level, "info"),
     NUMBER("log_lines_per_s", log_lines_per_s, "200", 1, 100000),
--- /dev/null
+++ b/source/gateway/gateway-state.c
@@ -0,0 +1,166 @@
+#include "gateway-internal.h"
+
+#include <string.h>
+
+/*
+ * Entries that expired while the store was away are back this long after its
+ * return, if their instances live.
+ */
+#define LAPSE_US (2200 * PB_MSEC)
+/* A list that was current this recently has no expired entries. */
+#define LAPSE_GAP_US (2 * PB_SEC)
+
+/* How long the store may hold a question about the configuration. */
+#define ROUTING_WAIT_MS 1100
+/*
+ * Versions that follow each other faster are not all fetched: a large
+ * configuration would fill the link of a small machine.
+ */
+#define ROUTING_PERIOD_US (500 * PB_MSEC)
+#define ROUTING_LIST_PERIOD_US (60 * PB_SEC)
+/*
+ * Heartbeats change the list all the time, so that a held question would
+ * return at once; the list is asked for changes this often instead.
+ */
+#define INSTANCE_PERIOD_US (700 * PB_MSEC)
+/* Catches changes that a watch has missed. */
+#define INSTANCE_LIST_PERIOD_US (8 * PB_SEC)
+#define ROUTER_PERIOD_US (20 * PB_SEC)
+#define ROUTER_LIST_PERIOD_US (60 * PB_SEC)
+
+static void
+put_routing_in_force(struct pb_gateway *gw, struct pb_routing *routing)
+{
+	pb_log(gw->ctx, PB_INFO, "configuration", NULL, NULL,
+	    "version %lld in force, before %lld: %zu routes, %zu services, "
+	    "%zu accounts, %zu keys",
+	    (long long)routing->version,
+	    gw->routing != NULL ? (long long)gw->routing->version : -1,
+	    routing->route_count, routing->service_count,
+	    routing->account_count, routing->key_count);
+	pb_drop_routing(gw->ctx, gw->routing);
+	gw->routing = routing;
+	gw->routing_us = pb_now(gw->ctx);
+}
+
+void
+pb_apply_routing_row(
+    struct pb_gateway *gw, struct pb_str value, int64_t row_version)
+{
+	struct pb_routing *routing;
+
+	/* A listing repeats what is in force. */
+	if (gw->routing != NULL && row_version == gw->routing_row)
+		return;
+	routing = gw->adapter->read_routing(gw->ctx, value);
+	if (routing == NULL) {
+		pb_log_error(gw->ctx, PB_ERROR, NULL);
+		return;
+	}
+	if (gw->routing != NULL && routing->version < gw->routing->version) {
+		pb_log(gw->ctx, PB_WARN, "configuration", NULL, NULL,
+		    "version %lld is older than %lld; ignored",
+		    (long long)routing->version,
+		    (long long)gw->routing->version);
+		pb_drop_routing(gw->ctx, routing);
+		return;
+	}
+	put_routing_in_force(gw, routing);
+	gw->routing_row = row_version;
+	gw->routing_text.len = 0;
+	if (pb_append_buf(&gw->routing_text, value.data, value.len) != PB_OK)
+		gw->routing_text.len = 0;
+}
+
+static void
+on_routing_row(struct pb_gateway *gw, struct pb_arena *arena,
+    const struct pb_store_row *row)
+{
+	(void)arena;
+	if (!row->removed && gw->adapter->is_routing_key(row->key))
+		pb_apply_routing_row(gw, row->value, row->version);
+}
+
+void
+pb_note_routing_fresh(struct pb_gateway *gw, int64_t fresh_us)
+{
+	if (fresh_us > gw->routing_fresh_us)
+		gw->routing_fresh_us = fresh_us;
+}
+
+void
+pb_note_instances_fresh(struct pb_gateway *gw, int64_t fresh_us)
+{
+	int64_t before = gw->instances_fresh_us;
+
+	if (before != 0 && fresh_us - before > LAPSE_GAP_US)
+		pb_defer_removals(gw->registry, pb_now(gw->ctx) + LAPSE_US);
+	if (fresh_us > before)
+		gw->instances_fresh_us = fresh_us;
+}
+
+static void
+on_instance_row(struct pb_gateway *gw, struct pb_arena *arena,
+    const struct pb_store_row *row)
+{
+	struct pb_instance_entry entry;
+	int rc = PB_EPROTO;
+
+	if (!row->removed)
+		rc = gw->adapter->read_instance(gw->ctx, arena, row, &entry);
+	if (rc == PB_OK)
+		rc = pb_apply_instance(gw->ctx, gw->registry, &entry);
+	if (rc == PB_OK)
+		return;
+	if (!row->removed)
+		pb_log_error(gw->ctx, PB_WARN, NULL);
+	pb_remove_instance(gw->ctx, gw->registry, row->key);
+}
+
+static void
+on_instances_begin(struct pb_gateway *gw)
+{
+	pb_begin_listing(gw->registry);
+}
+
+static void
+on_instances_end(struct pb_gateway *gw)
+{
+	pb_end_listing(gw->ctx, gw->registry);
+}
+
+static void
+on_router_row(struct pb_gateway *gw, struct pb_arena *arena,
+    const struct pb_store_row *row)
+{
+	(void)arena;
+	pb_apply_router_row(gw->follow, row);
+}
+
+const struct pb_watch_ops pb_routing_watch_ops = {.row = on_routing_row,
+    .fresh = pb_note_routing_fresh,
+    .lists_after_change = true,
+    .pauses = true,
+    .table = PB_STORE_OPERATOR,
+    .name = "the configuration",
+    .wait_ms = ROUTING_WAIT_MS,
+    .period_us = ROUTING_PERIOD_US,
+    .list_period_us = ROUTING_LIST_PERIOD_US};
+
+const struct pb_watch_ops pb_instance_watch_ops = {.row = on_instance_row,
+    .begin = on_instances_begin,
+    .end = on_instances_end,
+    .fresh = pb_note_instances_fresh,
+    .pauses = true,
+    .table = PB_STORE_INSTANCES,
+    .name = "the list of instances",
+    .wait_ms = 0,
+    .period_us = INSTANCE_PERIOD_US,
+    .list_period_us = INSTANCE_LIST_PERIOD_US};
+
+const struct pb_watch_ops pb_router_watch_ops = {.row = on_router_row,
+    .table = PB_STORE_ROUTERS,
+    .name = "the list of routers",
+    .wait_ms = 0,
+    .period_us = ROUTER_PERIOD_US,
+    .list_period_us = ROUTER_LIST_PERIOD_US};
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -7,6 +7,8 @@
 #define ANSWER_LIMIT_US (1200 * PB_MSEC)
 #define RETRY_MIN_US (100 * PB_MSEC)
 #define RETRY_MAX_US (300 * PB_MSEC)
+/* Shortest time between a question and a listing that is asked for. */
+#define LIST_MIN_US (500 * PB_MSEC)
 
 struct pb_watch {
 	struct pb_call call;
@@ -18,22 +20,16 @@
 	int64_t sent_us; /* when the call in progress was sent */
 	int64_t list_sent_us; /* when the listing in progress began */
 	int64_t listed_us; /* start of the last complete listing */
-	int64_t fresh_us;
 	int64_t lost_us; /* since when the store is away; 0: it answers */
 	char after[256]; /* key after which the listing goes on */
 	bool listing; /* the call in progress lists */
 	bool must_list;
+	bool paused;
 	int status;
 };
 
 static void ask(struct pb_watch *w);
 
-int64_t
-pb_watch_fresh(const struct pb_watch *watch)
-{
-	return watch->fresh_us;
-}
-
 static void
 schedule(struct pb_watch *w, int64_t delay_us)
 {
@@ -59,8 +55,7 @@
 	if (w->lost_us == 0) {
 		w->lost_us = pb_now(gw->ctx);
 		pb_log(gw->ctx, PB_WARN, "watch store", gw->settings.store,
-		    NULL, "lost %s: %s; confirmed %lld ms ago", w->ops->name,
-		    why, (long long)((w->lost_us - w->fresh_us) / PB_MSEC));
+		    NULL, "lost %s: %s", w->ops->name, why);
 	}
 	schedule(
 	    w, RETRY_MIN_US + (int64_t)(pb_next_unit(&gw->rnd) * (double)span));
@@ -76,8 +71,6 @@
 	pb_log(gw->ctx, PB_INFO, "watch store", gw->settings.store, NULL,
 	    "regained %s after %lld ms", w->ops->name,
 	    (long long)((pb_now(gw->ctx) - w->lost_us) / PB_MSEC));
-	if (w->ops->regained != NULL)
-		w->ops->regained(gw, w->lost_us);
 	w->lost_us = 0;
 }
 
@@ -97,6 +90,8 @@
     const struct pb_store_page *page)
 {
 	if (w->after[0] == '\0') {
+		if (w->ops->fresh != NULL)
+			w->ops->fresh(w->gw, w->list_sent_us);
 		/* Changes from here on are in the feed. */
 		w->version = page->version;
 		if (w->ops->begin != NULL)
@@ -115,7 +110,6 @@
 	w->after[0] = '\0';
 	w->must_list = false;
 	w->listed_us = w->list_sent_us;
-	w->fresh_us = w->list_sent_us;
 	if (w->ops->end != NULL)
 		w->ops->end(w->gw);
 }
@@ -136,10 +130,12 @@
 	if (rc == PB_OK && w->listing) {
 		apply_listing(w, arena, &page);
 	} else if (rc == PB_OK) {
+		if (w->ops->fresh != NULL)
+			w->ops->fresh(w->gw, w->sent_us);
 		apply_rows(w, arena, &page);
 		if (page.version > w->version)
 			w->version = page.version;
-		w->fresh_us = w->sent_us;
+		w->must_list = page.count > 0 && w->ops->lists_after_change;
 	}
 	pb_drop_arena(ctx, arena);
 	return rc;
@@ -242,7 +238,7 @@
 }
 
 static void
-ask(struct pb_watch *w)
+send_question(struct pb_watch *w)
 {
 	struct pb_gateway *gw = w->gw;
 	struct pb_buf buf = {0};
@@ -271,6 +267,35 @@
 	pb_clear_buf(&buf);
 }
 
+static void
+ask(struct pb_watch *w)
+{
+	w->paused = w->ops->pauses && pb_is_following(w->gw->follow);
+	if (!w->paused)
+		send_question(w);
+}
+
+void
+pb_resume_watch(struct pb_watch *watch)
+{
+	if (watch == NULL || !watch->paused)
+		return;
+	/* Much may have changed since the last question. */
+	list_anew(watch);
+	ask(watch);
+}
+
+void
+pb_list_now(struct pb_watch *watch)
+{
+	if (watch->must_list && watch->call.link != NULL)
+		return;
+	list_anew(watch);
+	if (watch->call.link == NULL &&
+	    pb_now(watch->gw->ctx) - watch->sent_us >= LIST_MIN_US)
+		send_question(watch);
+}
+
 struct pb_watch *
 pb_new_watch(struct pb_gateway *gw, const struct pb_watch_ops *ops)
 {
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -3,6 +3,14 @@
 
 #include "poplarbeam/registry.h"
 
+/* Removals that followers can still be told of. */
+#define DEPARTURES 256
+
+struct departure {
+	char id[PB_INSTANCE_TEXT];
+	uint64_t sequence;
+};
+
 struct pb_registry {
 	const struct pb_registry_ops *ops;
 	void *owner;
@@ -10,6 +18,13 @@
 	size_t count;
 	size_t cap;
 	int64_t defer_until_us; /* 0: removals take effect at once */
+	uint64_t epoch;
+	uint64_t sequence;
+	struct departure departures[DEPARTURES]; /* a ring */
+	size_t departure_count; /* so far */
 };
 
+/* Remembers a removal for followers. */
+void pb_note_departure(struct pb_registry *registry, const char *id);
+
 #endif
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -9,11 +9,12 @@
 {
 	struct pb_registry *registry = calloc(1, sizeof(*registry));
 
-	(void)ctx;
 	if (registry == NULL)
 		return NULL;
 	registry->ops = ops;
 	registry->owner = owner;
+	registry->epoch = pb_hash_pair((uint64_t)pb_wall(ctx),
+	    (uint64_t)(uintptr_t)registry ^ (uint64_t)pb_now(ctx));
 	return registry;
 }
 
@@ -60,6 +61,7 @@
 
 	registry->instances[i] = registry->instances[--registry->count];
 	inst->gone = true;
+	pb_note_departure(registry, inst->id);
 	close_instance(registry, inst);
 	pb_drop_instance(inst);
 }
@@ -148,17 +150,31 @@
 	return inst;
 }
 
-int
-pb_apply_instance(struct pb_context *ctx, struct pb_registry *registry,
+/* Takes over what may change in one lifetime; true if anything did. */
+static bool
+update_instance(struct pb_instance *inst, const struct pb_instance_entry *e)
+{
+	bool same = inst->sequence != 0 &&
+	    pb_str_equal_c(e->domain, inst->domain) &&
+	    inst->slots == e->slots && inst->started_ms == e->started_ms &&
+	    inst->draining == e->draining;
+
+	copy_text(inst->domain, e->domain);
+	inst->slots = e->slots;
+	inst->started_ms = e->started_ms;
+	inst->lapse_us = 0;
+	inst->listed = true;
+	return !same;
+}
+
+/* Makes the registry know the instance of the entry; NULL: out of memory. */
+static struct pb_instance *
+take_instance(struct pb_context *ctx, struct pb_registry *registry,
     const struct pb_instance_entry *entry)
 {
 	struct pb_instance *inst;
 	size_t i;
 
-	if (!fits(entry->id) || !fits(entry->service) ||
-	    !fits(entry->address) || entry->domain.len >= PB_INSTANCE_TEXT)
-		return pb_set_error(ctx, PB_EINVAL, "list instances", NULL,
-		    "an entry has a text that is empty or too long");
 	if (find_index(registry, entry->id, &i) &&
 	    is_other_process(registry->instances[i], entry)) {
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
@@ -167,20 +183,32 @@
 		forget_at(registry, i);
 	}
 	inst = pb_find_instance(registry, entry->id);
-	if (inst == NULL) {
-		inst = add_instance(registry, entry);
-		if (inst == NULL)
-			return pb_set_error(ctx, PB_ENOMEM, "list instances",
-			    NULL, "out of memory");
+	if (inst != NULL)
+		return inst;
+	inst = add_instance(registry, entry);
+	if (inst != NULL)
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%s of %s joined at %s", inst->id, inst->service,
 		    inst->address);
-	}
-	copy_text(inst->domain, entry->domain);
-	inst->slots = entry->slots;
-	inst->started_ms = entry->started_ms;
-	inst->lapse_us = 0;
-	inst->listed = true;
+	return inst;
+}
+
+int
+pb_apply_instance(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_instance_entry *entry)
+{
+	struct pb_instance *inst;
+
+	if (!fits(entry->id) || !fits(entry->service) ||
+	    !fits(entry->address) || entry->domain.len >= PB_INSTANCE_TEXT)
+		return pb_set_error(ctx, PB_EINVAL, "list instances", NULL,
+		    "an entry has a text that is empty or too long");
+	inst = take_instance(ctx, registry, entry);
+	if (inst == NULL)
+		return pb_set_error(
+		    ctx, PB_ENOMEM, "list instances", NULL, "out of memory");
+	if (update_instance(inst, entry))
+		inst->sequence = ++registry->sequence;
 	if (entry->draining && !inst->draining) {
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%s is draining", inst->id);
--- a/source/registry/registry-load.c
+++ b/source/registry/registry-load.c
@@ -43,5 +43,12 @@
 void
 pb_note_unreachable(struct pb_context *ctx, struct pb_instance *instance)
 {
-	instance->avoid_until_us = pb_now(ctx) + AVOID_US;
+	pb_note_unreachable_for(ctx, instance, AVOID_US);
+}
+
+void
+pb_note_unreachable_for(
+    struct pb_context *ctx, struct pb_instance *instance, int64_t us)
+{
+	instance->avoid_until_us = pb_now(ctx) + us;
 }
