--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 TARGET := target
 
 PKGS := libtirpc libcurl jansson yaml-0.1 libxxhash argtable2 libsodium \
-    libevent_core
+    libevent_core libevent_extra
 CFLAGS_release := -O2 -g
 CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer \
     -fno-sanitize-recover=all
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -125,6 +125,7 @@
 		return;
 	}
 	x->attempts++;
+	pb_arm_exchange(x);
 }
 
 static int
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -147,10 +147,10 @@
 	return stall < at ? stall : at;
 }
 
-static void
-arm_timer(struct pb_exchange *x, int64_t at)
+void
+pb_arm_exchange(struct pb_exchange *x)
 {
-	int64_t delay = at - pb_now(x->gw->ctx);
+	int64_t delay = next_check(x) - pb_now(x->gw->ctx);
 	struct timeval tv;
 
 	if (delay < PB_MSEC)
@@ -186,7 +186,7 @@
 		/* Looks again later: the budget may allow it then. */
 		x->progress_us = pb_now(gw->ctx);
 		x->attempt_us = x->progress_us;
-		arm_timer(x, next_check(x));
+		pb_arm_exchange(x);
 		return;
 	}
 	pb_note_outcome(gw->ctx, x->instance, true);
@@ -209,7 +209,7 @@
 	else if (now >= at)
 		leave_stalled_attempt(x);
 	else
-		arm_timer(x, at);
+		pb_arm_exchange(x);
 }
 
 void
@@ -225,7 +225,6 @@
 		return;
 	}
 	pb_note_window_request(x->gw->ctx, x->budget->window);
-	arm_timer(x, x->received_us + CONNECT_LIMIT_US);
 	pb_next_attempt(x);
 }
 
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -19,8 +19,9 @@
 #define NO_PEER_RETRY_US (2 * PB_SEC)
 /* A router that does not answer is left alone for this long. */
 #define AVOID_US (5 * PB_SEC)
-/* A router that has not heard from the store itself is of no use. */
-#define AGE_MAX_US (2500 * PB_MSEC)
+/* A router that has not heard from the store for longer is of no use. */
+#define ROUTING_AGE_MAX_US (2600 * PB_MSEC)
+#define INSTANCES_AGE_MAX_US (1400 * PB_MSEC)
 
 struct candidate {
 	struct pb_instance *router; /* its hash gives the order */
@@ -139,7 +140,8 @@
 {
 	struct pb_gateway *gw = f->gw;
 
-	if (a->routing_age > AGE_MAX_US || a->instances_age > AGE_MAX_US) {
+	if (a->routing_age > ROUTING_AGE_MAX_US ||
+	    a->instances_age > INSTANCES_AGE_MAX_US) {
 		stop_following(f, "its knowledge is old");
 		return;
 	}
@@ -279,23 +281,27 @@
 	ask_peer(f);
 }
 
+static void
+drop_candidate(struct candidate *c)
+{
+	c->router->gone = true;
+	pb_drop_idle_links(c->router);
+	pb_drop_instance(c->router);
+	free(c);
+}
+
 static void
 forget_candidate(struct pb_follow *f, struct pb_str id)
 {
 	struct candidate **p = &f->candidates;
 
-	while (*p != NULL) {
+	while (*p != NULL && !pb_str_equal_c(id, (*p)->router->id))
+		p = &(*p)->next;
+	if (*p != NULL) {
 		struct candidate *c = *p;
 
-		if (!pb_str_equal_c(id, c->router->id)) {
-			p = &c->next;
-			continue;
-		}
 		*p = c->next;
-		c->router->gone = true;
-		pb_drop_idle_links(c->router);
-		pb_drop_instance(c->router);
-		free(c);
+		drop_candidate(c);
 	}
 }
 
@@ -381,12 +387,15 @@
 void
 pb_drop_follow(struct pb_follow *follow)
 {
+	struct candidate *c;
+
 	if (follow == NULL)
 		return;
 	pb_cancel_call(&follow->call);
-	while (follow->candidates != NULL)
-		forget_candidate(
-		    follow, pb_str_from(follow->candidates->router->id));
+	while ((c = follow->candidates) != NULL) {
+		follow->candidates = c->next;
+		drop_candidate(c);
+	}
 	pb_drop_instance(follow->peer);
 	event_free(follow->timer);
 	pb_clear_buf(&follow->answer);
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -224,6 +224,8 @@
 struct pb_watch *pb_new_watch(
     struct pb_gateway *gw, const struct pb_watch_ops *ops);
 void pb_drop_watch(struct pb_watch *watch);
+/* True from a failed question to the next answer. */
+bool pb_is_watch_lost(const struct pb_watch *watch);
 /* Asks at once if the watch had paused. */
 void pb_resume_watch(struct pb_watch *watch);
 /* Lists everything as soon as possible, paused or not. */
@@ -312,6 +314,8 @@
 void pb_start_exchange(struct pb_exchange *x);
 struct pb_exchange *pb_new_exchange(struct pb_front *front);
 void pb_drop_exchange(struct pb_exchange *x);
+/* Sets the timer to the next moment at which the attempt must be looked at. */
+void pb_arm_exchange(struct pb_exchange *x);
 /* The caller has closed its connection. */
 void pb_leave_exchange(struct pb_exchange *x);
 
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -114,6 +114,25 @@
 	    q->routing_row != gw->routing_row;
 }
 
+/* True while what this router knows comes from the store without a gap. */
+static bool
+is_useful(const struct pb_gateway *gw)
+{
+	if (gw->routing == NULL || gw->instances_fresh_us == 0 ||
+	    gw->stop_us != 0)
+		return false;
+	return pb_is_following(gw->follow) ||
+	    (!pb_is_watch_lost(gw->routing_watch) &&
+		!pb_is_watch_lost(gw->instance_watch));
+}
+
+static void
+refuse_question(struct pb_front *front)
+{
+	front->held_us = 0;
+	pb_reply_front(front, 503, PB_STR_NONE, PB_STR_NONE);
+}
+
 static void
 on_question(struct pb_front *front)
 {
@@ -121,9 +140,8 @@
 	struct pb_str target = pb_http_target(&front->reader.head);
 	struct change_question q;
 
-	if (gw->routing == NULL || gw->instances_fresh_us == 0 ||
-	    gw->stop_us != 0) {
-		pb_reply_front(front, 503, PB_STR_NONE, PB_STR_NONE);
+	if (!is_useful(gw)) {
+		refuse_question(front);
 		return;
 	}
 	if (pb_str_equal_c(target, PB_ROUTING_PATH)) {
@@ -154,7 +172,9 @@
 		next = TAILQ_NEXT(front, entry);
 		if (front->held_us == 0 || !decode_question(front, &q))
 			continue;
-		if (now - front->held_us >= HOLD_US || has_news(gw, &q))
+		if (!is_useful(gw))
+			refuse_question(front);
+		else if (now - front->held_us >= HOLD_US || has_news(gw, &q))
 			answer_question(front, &q);
 	}
 }
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -4,7 +4,9 @@
 #include <string.h>
 
 /* A store that answers nothing for this long beyond the wait is away. */
-#define ANSWER_LIMIT_US (1200 * PB_MSEC)
+#define ANSWER_LIMIT_US (700 * PB_MSEC)
+/* A listing may be large. */
+#define LIST_LIMIT_US (2 * PB_SEC)
 #define RETRY_MIN_US (100 * PB_MSEC)
 #define RETRY_MAX_US (300 * PB_MSEC)
 /* Shortest time between a question and a listing that is asked for. */
@@ -261,8 +263,8 @@
 		note_lost(w, "no connection");
 	} else {
 		schedule(w,
-		    ANSWER_LIMIT_US +
-			(w->listing ? 0 : w->ops->wait_ms * PB_MSEC));
+		    w->listing ? LIST_LIMIT_US
+			       : ANSWER_LIMIT_US + w->ops->wait_ms * PB_MSEC);
 	}
 	pb_clear_buf(&buf);
 }
@@ -275,6 +277,12 @@
 		send_question(w);
 }
 
+bool
+pb_is_watch_lost(const struct pb_watch *watch)
+{
+	return watch->lost_us != 0;
+}
+
 void
 pb_resume_watch(struct pb_watch *watch)
 {
--- /dev/null
+++ b/standin/pb-rows.c
@@ -0,0 +1,450 @@
+/*
+ * Stand-in for the platform's store in its published form: rows by table and
+ * key, listings, feeds and transactions. For tests.
+ *
+ *   pb-rows PORT
+ *
+ * Control calls, so that a test plays the operator and the outages:
+ *   PUT /control/row/TABLE/KEY    stores the body as the row's value
+ *   DELETE /control/row/TABLE/KEY
+ *   PUT /control/mode             body: ok, down, silent, forget or slow MS
+ *   GET /control/calls            number of calls answered or refused
+ *   GET /control/row/TABLE/KEY    the value of a row, for checks
+ */
+#include "poplarbeam/base.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define ROWS_MAX 512
+#define WAITS_MAX 256
+#define NAME_MAX_LEN 80
+
+struct row {
+	char table[NAME_MAX_LEN];
+	char key[NAME_MAX_LEN];
+	char *value; /* base64; NULL: removed */
+	long long version;
+};
+
+struct held {
+	struct evhttp_request *req; /* NULL: free */
+	char table[NAME_MAX_LEN];
+	long long since;
+	struct event *timer;
+	struct store *store;
+};
+
+enum mode {
+	MODE_OK,
+	MODE_DOWN,
+	MODE_SILENT
+};
+
+struct store {
+	struct event_base *base;
+	struct row rows[ROWS_MAX];
+	size_t row_count;
+	struct held held[WAITS_MAX];
+	long long version;
+	long long forgotten; /* history up to here is gone */
+	long long calls;
+	enum mode mode;
+	int delay_ms;
+};
+
+/* An answer that is sent later. */
+struct delayed {
+	struct evhttp_request *req;
+	struct evbuffer *body;
+	int status;
+	struct event *timer;
+};
+
+static void
+send_now(struct evhttp_request *req, int status, struct evbuffer *body)
+{
+	evhttp_send_reply(req, status, status == 200 ? "OK" : "No", body);
+}
+
+static void
+on_delay(evutil_socket_t fd, short what, void *arg)
+{
+	struct delayed *d = arg;
+
+	(void)fd;
+	(void)what;
+	send_now(d->req, d->status, d->body);
+	evbuffer_free(d->body);
+	event_free(d->timer);
+	free(d);
+}
+
+static void
+send_json(struct store *s, struct evhttp_request *req, int status, json_t *body)
+{
+	struct timeval tv = {s->delay_ms / 1000, s->delay_ms % 1000 * 1000};
+	struct delayed *d = calloc(1, sizeof(*d));
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(req), NULL, NULL);
+	d->req = req;
+	d->status = status;
+	d->body = evbuffer_new();
+	evbuffer_add(d->body, text, strlen(text));
+	free(text);
+	json_decref(body);
+	d->timer = evtimer_new(s->base, on_delay, d);
+	if (s->delay_ms == 0)
+		on_delay(-1, 0, d);
+	else
+		evtimer_add(d->timer, &tv);
+}
+
+static struct row *
+find_row(struct store *s, const char *table, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < s->row_count; i++) {
+		if (strcmp(s->rows[i].table, table) == 0 &&
+		    strcmp(s->rows[i].key, key) == 0)
+			return &s->rows[i];
+	}
+	return NULL;
+}
+
+static json_t *
+row_json(const struct row *r)
+{
+	json_t *j = json_pack("{s:s,s:s,s:s,s:I}", "table", r->table, "part",
+	    "", "key", r->key, "ver", (json_int_t)r->version);
+
+	if (r->value == NULL)
+		json_object_set_new(j, "deleted", json_true());
+	else
+		json_object_set_new(j, "value", json_string(r->value));
+	return j;
+}
+
+/* Rows of the table that changed after since; removed ones only in a feed. */
+static json_t *
+select_rows(struct store *s, const char *table, long long since, bool feed)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < s->row_count; i++) {
+		const struct row *r = &s->rows[i];
+
+		if (strcmp(r->table, table) == 0 && r->version > since &&
+		    (feed || r->value != NULL))
+			json_array_append_new(list, row_json(r));
+	}
+	return list;
+}
+
+static void
+answer_rows(struct store *s, struct evhttp_request *req, json_t *rows)
+{
+	send_json(s, req, 200,
+	    json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "more-pages", 0,
+		"ver", (json_int_t)s->version, "now-ms", (json_int_t)0));
+}
+
+static void
+free_held(struct held *h)
+{
+	event_free(h->timer);
+	h->req = NULL;
+}
+
+static void
+on_held_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct held *h = arg;
+
+	(void)fd;
+	(void)what;
+	answer_rows(h->store, h->req, json_array());
+	free_held(h);
+}
+
+static void
+on_held_closed(struct evhttp_connection *conn, void *arg)
+{
+	struct held *h = arg;
+
+	(void)conn;
+	if (h->req != NULL)
+		free_held(h);
+}
+
+static void
+hold(struct store *s, struct evhttp_request *req, const char *table,
+    long long since, int wait_ms)
+{
+	struct timeval tv = {wait_ms / 1000, wait_ms % 1000 * 1000};
+	size_t i;
+
+	for (i = 0; i < WAITS_MAX && s->held[i].req != NULL; i++)
+		;
+	if (i == WAITS_MAX) {
+		send_json(s, req, 429, json_object());
+		return;
+	}
+	s->held[i].req = req;
+	s->held[i].since = since;
+	s->held[i].store = s;
+	pb_copy_str(s->held[i].table, NAME_MAX_LEN, table);
+	s->held[i].timer = evtimer_new(s->base, on_held_timeout, &s->held[i]);
+	evtimer_add(s->held[i].timer, &tv);
+	evhttp_connection_set_closecb(
+	    evhttp_request_get_connection(req), on_held_closed, &s->held[i]);
+}
+
+static void
+wake_held(struct store *s)
+{
+	size_t i;
+
+	for (i = 0; i < WAITS_MAX; i++) {
+		struct held *h = &s->held[i];
+		json_t *rows;
+
+		if (h->req == NULL)
+			continue;
+		rows = select_rows(s, h->table, h->since, true);
+		if (json_array_size(rows) == 0) {
+			json_decref(rows);
+			continue;
+		}
+		answer_rows(s, h->req, rows);
+		free_held(h);
+	}
+}
+
+static void
+put_row(struct store *s, const char *table, const char *key, const char *value)
+{
+	struct row *r = find_row(s, table, key);
+
+	if (r == NULL && s->row_count < ROWS_MAX) {
+		r = &s->rows[s->row_count++];
+		pb_copy_str(r->table, NAME_MAX_LEN, table);
+		pb_copy_str(r->key, NAME_MAX_LEN, key);
+	}
+	if (r == NULL)
+		return;
+	free(r->value);
+	r->value = value != NULL ? strdup(value) : NULL;
+	r->version = ++s->version;
+	wake_held(s);
+}
+
+static const char *
+param(const struct evkeyvalq *q, const char *name, const char *absent)
+{
+	const char *v = evhttp_find_header(q, name);
+
+	return v != NULL ? v : absent;
+}
+
+static void
+serve_feed(struct store *s, struct evhttp_request *req, struct evkeyvalq *q)
+{
+	const char *table = param(q, "table", "");
+	long long since = atoll(param(q, "since-rev", "0"));
+	int wait_ms = atoi(param(q, "wait-ms", "0"));
+	json_t *rows;
+
+	if (since < s->forgotten) {
+		send_json(s, req, 410, json_object());
+		return;
+	}
+	rows = select_rows(s, table, since, true);
+	if (json_array_size(rows) > 0 || wait_ms == 0) {
+		answer_rows(s, req, rows);
+		return;
+	}
+	json_decref(rows);
+	hold(s, req, table, since, wait_ms);
+}
+
+static json_t *
+read_body(struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t n = evbuffer_get_length(in);
+
+	return json_loadb((char *)evbuffer_pullup(in, -1), n, 0, NULL);
+}
+
+static void
+serve_tx(struct store *s, struct evhttp_request *req)
+{
+	json_t *tx = read_body(req);
+	const json_t *puts = json_object_get(tx, "puts");
+	size_t i;
+
+	for (i = 0; i < json_array_size(puts); i++) {
+		const json_t *p = json_array_get(puts, i);
+
+		put_row(s, json_string_value(json_object_get(p, "table")),
+		    json_string_value(json_object_get(p, "key")),
+		    json_string_value(json_object_get(p, "value")));
+	}
+	json_decref(tx);
+	send_json(s, req, 200,
+	    json_pack("{s:I,s:I}", "ver", (json_int_t)s->version, "now-ms",
+		(json_int_t)0));
+}
+
+static void
+control_mode(struct store *s, struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	char text[32] = "";
+
+	evbuffer_remove(in, text, sizeof(text) - 1);
+	s->delay_ms = 0;
+	s->mode = MODE_OK;
+	if (strncmp(text, "down", 4) == 0)
+		s->mode = MODE_DOWN;
+	else if (strncmp(text, "silent", 6) == 0)
+		s->mode = MODE_SILENT;
+	else if (strncmp(text, "slow ", 5) == 0)
+		s->delay_ms = atoi(text + 5);
+	else if (strncmp(text, "forget", 6) == 0)
+		s->forgotten = s->version;
+	send_now(req, 200, NULL);
+}
+
+static void
+control_get(struct store *s, struct evhttp_request *req, const char *table,
+    const char *key)
+{
+	const struct row *r = find_row(s, table, key);
+	struct evbuffer *out = evbuffer_new();
+
+	if (r != NULL && r->value != NULL)
+		evbuffer_add(out, r->value, strlen(r->value));
+	send_now(req, r != NULL && r->value != NULL ? 200 : 404, out);
+	evbuffer_free(out);
+}
+
+static void
+control_row(struct store *s, struct evhttp_request *req, const char *path)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t n = evbuffer_get_length(in);
+	char table[NAME_MAX_LEN], key[NAME_MAX_LEN];
+	char *text;
+	size_t cap;
+
+	if (sscanf(path, "/control/row/%79[^/]/%79s", table, key) != 2) {
+		send_now(req, 400, NULL);
+		return;
+	}
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_GET) {
+		control_get(s, req, table, key);
+		return;
+	}
+	if (evhttp_request_get_command(req) == EVHTTP_REQ_DELETE) {
+		put_row(s, table, key, NULL);
+		send_now(req, 200, NULL);
+		return;
+	}
+	cap = sodium_base64_encoded_len(n, sodium_base64_VARIANT_ORIGINAL);
+	text = malloc(cap);
+	sodium_bin2base64(text, cap, evbuffer_pullup(in, -1), n,
+	    sodium_base64_VARIANT_ORIGINAL);
+	put_row(s, table, key, text);
+	free(text);
+	send_now(req, 200, NULL);
+}
+
+static bool
+serve_control(struct store *s, struct evhttp_request *req, const char *path)
+{
+	struct evbuffer *out;
+
+	if (strncmp(path, "/control/row/", 13) == 0) {
+		control_row(s, req, path);
+	} else if (strcmp(path, "/control/mode") == 0) {
+		control_mode(s, req);
+	} else if (strcmp(path, "/control/calls") == 0) {
+		out = evbuffer_new();
+		evbuffer_add_printf(out, "%lld\n", s->calls);
+		send_now(req, 200, out);
+		evbuffer_free(out);
+	} else {
+		return false;
+	}
+	return true;
+}
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	struct store *s = arg;
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
+	const char *path = evhttp_uri_get_path(uri);
+	struct evkeyvalq q;
+
+	if (serve_control(s, req, path))
+		return;
+	s->calls++;
+	if (s->mode == MODE_SILENT)
+		return;
+	if (s->mode == MODE_DOWN) {
+		send_json(s, req, 503, json_object());
+		return;
+	}
+	TAILQ_INIT(&q);
+	if (evhttp_uri_get_query(uri) != NULL)
+		evhttp_parse_query_str(evhttp_uri_get_query(uri), &q);
+	if (strcmp(path, "/poplarbeam/rows-get") == 0)
+		answer_rows(
+		    s, req, select_rows(s, param(&q, "table", ""), 0, false));
+	else if (strcmp(path, "/poplarbeam/rows-feed") == 0)
+		serve_feed(s, req, &q);
+	else if (strcmp(path, "/poplarbeam/rows-tx") == 0)
+		serve_tx(s, req);
+	else
+		send_json(s, req, 404, json_object());
+	evhttp_clear_headers(&q);
+}
+
+int
+main(int argc, char **argv)
+{
+	struct store *s = calloc(1, sizeof(*s));
+	struct evhttp *http;
+
+	if (argc != 2 || s == NULL) {
+		fprintf(stderr, "usage: pb-rows PORT\n");
+		return 2;
+	}
+	s->base = event_base_new();
+	http = evhttp_new(s->base);
+	evhttp_set_allowed_methods(http,
+	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+		EVHTTP_REQ_DELETE);
+	evhttp_set_gencb(http, on_request, s);
+	if (evhttp_bind_socket(
+		http, "127.0.0.1", (ev_uint16_t)atoi(argv[1])) != 0) {
+		fprintf(stderr, "pb-rows: port %s is taken\n", argv[1]);
+		return 1;
+	}
+	event_base_dispatch(s->base);
+	return 0;
+}
--- /dev/null
+++ b/tests/lib/gateway-lib.sh
@@ -0,0 +1,134 @@
+# Shell functions for scripted runs of the gateway: a stand-in of the platform's
+# store, misbehaving back ends and gateways, all on loopback. Sourced by bash.
+
+. tests/lib/fleet-lib.sh
+
+store_port=$FLEET_PORT
+store_url="http://127.0.0.1:$store_port"
+route_host=shop.example
+account_key=key-of-a
+
+backend_port() { echo $((FLEET_PORT + 10 + $1)); }
+gateway_port() { echo $((FLEET_PORT + 100 + 10 * $1)); }
+ready_port() { echo $((FLEET_PORT + 101 + 10 * $1)); }
+metrics_port() { echo $((FLEET_PORT + 102 + 10 * $1)); }
+gateway_peer_port() { echo $((FLEET_PORT + 103 + 10 * $1)); }
+gateway_url() { echo "http://127.0.0.1:$(gateway_port "$1")"; }
+
+start_store() {
+	launch store "$FLEET_BIN/pb-rows" "$store_port"
+	await 5 answers "$store_url/control/calls"
+}
+
+store_mode() { curl -sf -m 5 -X PUT -d "$1" "$store_url/control/mode"; }
+store_calls() { curl -sf -m 5 "$store_url/control/calls"; }
+
+# put_row TABLE KEY: stores standard input.
+put_row() {
+	curl -sf -m 5 -X PUT --data-binary @- "$store_url/control/row/$1/$2"
+}
+
+drop_row() { curl -sf -m 5 -X DELETE "$store_url/control/row/$1/$2"; }
+
+# announce_backend N SERVICE [STATE] [SEQUENCE]
+announce_backend() {
+	printf '{"service":"%s","address":"127.0.0.1:%s","zone":"a",' "$2" \
+	    "$(backend_port "$1")" >"$FLEET_DIR/entry"
+	printf '"version":"v1","slots":8,"state":"%s","cold-left-ms":0,' \
+	    "${3:-ready}" >>"$FLEET_DIR/entry"
+	printf '"sequence":%s,"born":1700000000000}' "${4:-1}" \
+	    >>"$FLEET_DIR/entry"
+	put_row servers "b$1" <"$FLEET_DIR/entry"
+}
+
+# start_backend N SERVICE
+start_backend() {
+	launch "b$1" "$FLEET_BIN/pb-backend" "$(backend_port "$1")" "b$1"
+	announce_backend "$1" "$2"
+}
+
+# route NAME PREFIX KIND ATTEMPTS RESUMABLE [TIMEOUT-MS]
+route() {
+	printf '{"name":"%s","host":"%s","prefix":"%s","kind":"%s",' "$1" \
+	    "$route_host" "$2" "$3"
+	printf '"timeout-ms":%s,"target-latency-ms":150,"priority":1,' \
+	    "${6:-3000}"
+	printf '"service":"app","max-attempts":%s,"public":false,' "$4"
+	printf '"sticky":false,"resumable":%s}' "$5"
+}
+
+# apply_config VERSION [KEY]: the routes that the scripts use.
+apply_config() {
+	{
+		printf '{"version":%s,"routes":[' "$1"
+		route safe /safe/ idempotent 2 false
+		printf ,
+		route once /once/ non_idempotent 2 false
+		printf ,
+		route flow /flow/ streaming 2 true 5000
+		printf ,
+		route tale /tale/ streaming 2 false
+		printf '],"services":[{"name":"app","health-path":"/health",'
+		printf '"max-conns":100}],"limits":{"max-header-bytes":4096,'
+		printf '"max-body-bytes":65536,"header-timeout-ms":1000,'
+		printf '"idle-timeout-ms":15000},"tenants":[{"name":"a",'
+		printf '"api-keys":["%s"]}]}' "${2:-$account_key}"
+	} | put_row op config
+}
+
+# start_gateway N [LINE...]: further lines of its settings.
+start_gateway() {
+	local n=$1
+	shift
+	{
+		echo "instance: g$n"
+		echo "domain: a"
+		echo "caller: 127.0.0.1:$(gateway_port "$n")"
+		echo "ready: 127.0.0.1:$(ready_port "$n")"
+		echo "metrics: 127.0.0.1:$(metrics_port "$n")"
+		echo "peer: 127.0.0.1:$(gateway_peer_port "$n")"
+		echo "store: 127.0.0.1:$store_port"
+		printf '%s\n' "$@"
+	} >"$FLEET_DIR/g$n.yaml"
+	launch "g$n" "$FLEET_BIN/poplarbeam-gateway" "$FLEET_DIR/g$n.yaml"
+}
+
+gateway_ready() { answers "http://127.0.0.1:$(ready_port "$1")/ready"; }
+
+# wait_gateway N: until it is ready and knows the back ends.
+wait_gateway() { await 10 gateway_ready "$1"; }
+
+# ask N ID PATH [CURL-OPTION...]: one request at gateway N; prints the status
+# and the body in one line.
+ask() {
+	local n=$1 id=$2 path=$3
+	shift 3
+	curl -s -m 10 -H "Host: $route_host" \
+	    -H "X-Poplarbeam-Attempt-Id: $id" \
+	    -H "Authorization: Bearer $account_key" -w ' %{http_code}' "$@" \
+	    "$(gateway_url "$n")$path" >"$FLEET_DIR/answer" ||
+	    printf ' (broken off)' >>"$FLEET_DIR/answer"
+	tr '\n' '|' <"$FLEET_DIR/answer"
+	echo
+}
+
+# runs ID: how often the back ends ran the request, in all.
+runs() {
+	local n sum=0 one
+	for n in $(seq "${BACKENDS:-2}"); do
+		one=$(curl -sf -m 5 \
+		    "http://127.0.0.1:$(backend_port "$n")/runs/$1")
+		sum=$((sum + one))
+	done
+	echo "$sum"
+}
+
+# stop_gateway N: SIGTERM; prints the exit code once it has ended.
+stop_gateway() {
+	kill -TERM "$(pid_of "g$1")"
+	await 15 gateway_ended "$1" && echo ended
+}
+
+gateway_ended() { ! kill -0 "$(pid_of "g$1")" 2>/dev/null; }
+
+gateway_log() { cat "$FLEET_DIR/g$1.out"; }
--- /dev/null
+++ b/tests/scripts/gateway-follow.sh
@@ -0,0 +1,50 @@
+# Routers that learn from another router. Guards against calls to the store
+# that grow with the number of routers, and against a follower that stays with
+# a router that has lost the store, is frozen or gone.
+cd "$(dirname "$0")/../.." || exit 2
+. tests/lib/gateway-lib.sh
+begin_report
+
+start_store
+start_backend 1 app
+apply_config 1
+for n in 1 2 3 4; do start_gateway $n; done
+for n in 1 2 3 4; do wait_gateway $n; done
+following() {
+	[ "$(grep -l 'followed instead' "$FLEET_DIR"/g?.out | wc -l)" -ge 3 ]
+}
+await 10 following && echo "three routers follow"
+before=$(store_calls)
+sleep 4
+# One router makes about three calls a second.
+within 4 24 $(($(store_calls) - before)) calls
+
+status() { ask "$1" p /safe/ok | sed 's/.* //'; }
+all_answer() {
+	local n
+	for n in $2; do [ "$(status "$n")" = "$1" ] || return 1; done
+}
+apply_config 2 other-key
+await 2 all_answer 401 "1 2 3 4" && echo "change in force everywhere"
+apply_config 3
+await 2 all_answer 200 "1 2 3 4" && echo "and the next one"
+announce_backend 1 app draining 2
+await 2 all_answer 503 "1 2 3 4" && echo "instance left everywhere"
+announce_backend 1 app ready 3
+await 2 all_answer 200 "1 2 3 4" && echo "and is back"
+
+# The router that all follow is frozen: the others go on by themselves.
+leader=$(grep -ho '"peer":"g[0-9]","text":"followed' "$FLEET_DIR"/g?.out |
+    grep -o 'g[0-9]' | sort | uniq -c | sort -rn | awk 'NR == 1 {print $2}')
+others=$(echo 1 2 3 4 | tr -d "${leader#g}")
+kill -STOP "$(pid_of "$leader")"
+announce_backend 1 app draining 4
+await 3 all_answer 503 "$others" && echo "leader frozen: change seen"
+announce_backend 1 app ready 5
+await 3 all_answer 200 "$others" && echo "and the next one"
+kill -CONT "$(pid_of "$leader")"
+await 3 all_answer 200 "1 2 3 4" && echo "leader awake: up to date"
+kill -KILL "$(pid_of "$leader")"
+apply_config 4 other-key
+await 3 all_answer 401 "$others" && echo "leader killed: change seen"
+end_report gateway-follow
--- /dev/null
+++ b/tests/scripts/gateway-store.sh
@@ -0,0 +1,64 @@
+# The gateway and the platform's store. Guards against keys that stay in use
+# while the store cannot confirm them, a return to an older configuration,
+# requests to an instance that has left, instances that are dropped while the
+# store was away, and changes that are missed when its history is gone.
+cd "$(dirname "$0")/../.." || exit 2
+. tests/lib/gateway-lib.sh
+begin_report
+
+status() { ask 1 "$1" /safe/ok | sed 's/.* //'; }
+served() { [ "$(status p)" = 200 ]; }
+refused() { [ "$(status p)" = "$1" ]; }
+logged() { gateway_log 1 | grep -q "$1"; }
+
+start_store
+start_backend 1 app
+start_gateway 1 "revoke_ms: 3000"
+await 5 answers "http://127.0.0.1:$(metrics_port 1)/metrics"
+echo "without a configuration: $(status q1)"
+apply_config 5
+await 2 served && echo "configuration in force"
+
+apply_config 4 other-key
+sleep 1
+echo "an older version: $(status q2)"
+apply_config 6 other-key
+await 2 refused 401 && echo "key taken away: 401"
+apply_config 7
+await 2 served && echo "key given again"
+
+store_mode forget
+apply_config 8 other-key
+await 3 refused 401 && echo "change over a lost history: 401"
+apply_config 9
+await 2 served && echo "and back"
+
+store_mode down
+echo "store away, at once: $(status q3)"
+await 4 refused 503 && echo "store away, keys not confirmed: 503"
+store_mode ok
+await 2 served && echo "store back"
+
+# Entries that lapse while the store is away are kept until it is back for
+# about two seconds.
+store_mode silent
+sleep 3
+drop_row servers b1
+store_mode ok
+await 2 served && echo "lapsed entry: instance still used"
+await 4 refused 503 && echo "entry did not come back: gone"
+announce_backend 1 app ready 2
+await 2 served && echo "entry is back"
+
+announce_backend 1 app draining 3
+await 2 refused 503 && echo "draining: no request"
+printf 'not JSON' | put_row servers b1
+sleep 1
+echo "unreadable entry: $(status q4)"
+announce_backend 1 app ready 4
+await 2 served && echo "readable again"
+store_mode "slow 300"
+sleep 3
+echo "slow store: $(status q5)"
+stop_gateway 1
+end_report gateway-store
