Take the configuration from a router when the store turns this one away

Now a router whose configuration is behind refuses its followers and takes the text from the router that it follows; the first router of a domain may follow a later one while the store refuses it. The pause between failed questions doubles up to 600 ms.

--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -32,7 +32,7 @@
 	struct pb_call call;
 	struct pb_gateway *gw;
 	struct event *timer;
-	struct candidate *candidates; /* of the own domain, before this one */
+	struct candidate *candidates; /* of the own domain */
 	struct pb_instance *peer; /* asked now; counted */
 	struct pb_buf answer;
 	uint64_t own_hash;
@@ -40,7 +40,10 @@
 	uint64_t since;
 	int64_t sent_us;
 	int status;
+	int64_t routing_row; /* store version of the configuration fetched */
 	bool following;
+	bool behind; /* the peer has a newer configuration */
+	bool fetching; /* the question in progress is for that */
 	bool listed; /* the list of routers was read after the start */
 };
 
@@ -49,7 +52,14 @@
 bool
 pb_is_following(const struct pb_follow *follow)
 {
-	return follow != NULL && follow->following;
+	return follow != NULL && follow->following &&
+	    follow->peer->hash < follow->own_hash;
+}
+
+bool
+pb_is_behind(const struct pb_follow *follow)
+{
+	return follow->behind;
 }
 
 static void
@@ -73,6 +83,7 @@
 		f->peer = NULL;
 	}
 	f->epoch = 0;
+	f->behind = false;
 	schedule(f, RETRY_US);
 	if (!f->following)
 		return;
@@ -81,13 +92,28 @@
 	pb_resume_watch(gw->instance_watch);
 }
 
+/* True while the store turns this router away. */
+static bool
+is_store_lost(const struct pb_gateway *gw)
+{
+	return pb_is_watch_lost(gw->routing_watch) ||
+	    pb_is_watch_lost(gw->instance_watch);
+}
+
+/*
+ * The first router before this one; a later one only while the store turns
+ * this router away.
+ */
 static struct pb_instance *
 choose_peer(struct pb_follow *f)
 {
+	bool any = is_store_lost(f->gw);
 	struct pb_instance *best = NULL;
 	struct candidate *c;
 
 	for (c = f->candidates; c != NULL; c = c->next) {
+		if (!any && c->router->hash >= f->own_hash)
+			continue;
 		if (pb_now(f->gw->ctx) < c->router->avoid_until_us)
 			continue;
 		if (best == NULL || c->router->hash < best->hash)
@@ -129,9 +155,10 @@
 		pb_end_listing(gw->ctx, gw->registry);
 	f->epoch = a->epoch;
 	f->since = a->sequence;
+	f->behind = a->routing_row > gw->routing_row;
 	if (a->routing_row == gw->routing_row)
 		pb_note_routing_fresh(gw, f->sent_us - a->routing_age);
-	else if (a->routing_row > gw->routing_row)
+	else if (f->behind)
 		pb_list_now(gw->routing_watch);
 }
 
@@ -146,6 +173,10 @@
 		return;
 	}
 	apply_changes(f, a);
+	if (f->peer->hash >= f->own_hash && !is_store_lost(gw)) {
+		stop_following(f, "the store answers again");
+		return;
+	}
 	if (!f->following)
 		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
 		    "followed instead of the store; %u entries, instances "
@@ -159,7 +190,15 @@
 static void
 on_head(struct pb_call *call)
 {
-	((struct pb_follow *)call)->status = call->link->reader.head.status;
+	struct pb_follow *f = (struct pb_follow *)call;
+	const struct pb_http_head *h = &call->link->reader.head;
+	struct pb_str tag = pb_find_http_field(h, "ETag");
+	char text[24];
+
+	f->status = h->status;
+	snprintf(text, sizeof(text), "%.*s", (int)tag.len,
+	    tag.len > 0 ? tag.data : "");
+	f->routing_row = strtoll(text, NULL, 10);
 }
 
 static void
@@ -171,6 +210,23 @@
 		f->status = 0;
 }
 
+/* The peer's configuration, for a router that the store turns away. */
+static void
+use_routing(struct pb_follow *f)
+{
+	struct pb_gateway *gw = f->gw;
+
+	pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
+	    "configuration taken from it: row version %lld, before %lld",
+	    (long long)f->routing_row, (long long)gw->routing_row);
+	if (f->routing_row > gw->routing_row)
+		pb_apply_routing_row(gw,
+		    (struct pb_str){f->answer.data, f->answer.len},
+		    f->routing_row);
+	f->behind = f->routing_row > gw->routing_row;
+	schedule(f, ASK_PAUSE_US);
+}
+
 static void
 on_done(struct pb_call *call)
 {
@@ -183,6 +239,10 @@
 		stop_following(f, "it does not know enough");
 		return;
 	}
+	if (f->fetching) {
+		use_routing(f);
+		return;
+	}
 	memset(&answer, 0, sizeof(answer));
 	xdrmem_create(&xdr, f->answer.data, (u_int)f->answer.len, XDR_DECODE);
 	if (xdr_change_answer(&xdr, &answer))
@@ -216,6 +276,10 @@
 	u_int n = 0;
 	int rc;
 
+	if (f->fetching)
+		return pb_append_fmt(buf,
+		    "GET " PB_ROUTING_PATH " HTTP/1.1\r\nHost: %s\r\n\r\n",
+		    f->peer->address);
 	xdrmem_create(&xdr, body, sizeof(body), XDR_ENCODE);
 	if (xdr_change_question(&xdr, &q))
 		n = xdr_getpos(&xdr);
@@ -234,6 +298,7 @@
 	struct pb_link *link = pb_take_link(gw, f->peer);
 	struct pb_buf buf = {0};
 
+	f->fetching = f->behind && pb_has_watch_failed(gw->routing_watch);
 	f->answer.len = 0;
 	f->status = 0;
 	f->sent_us = pb_now(gw->ctx);
@@ -331,8 +396,7 @@
 		return;
 	memcpy(name, id.data, id.len);
 	name[id.len] = '\0';
-	/* Only routers before this one are asked, so that none asks back. */
-	if (pb_hash_cstr(name, 0) >= f->own_hash)
+	if (pb_str_equal_c(id, f->gw->settings.instance))
 		return;
 	c = calloc(1, sizeof(*c));
 	if (c == NULL)
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -226,6 +226,8 @@
 void pb_drop_watch(struct pb_watch *watch);
 /* True from a failed question to the next answer. */
 bool pb_is_watch_lost(const struct pb_watch *watch);
+/* True if the last question had no answer, also when it has paused since. */
+bool pb_has_watch_failed(const struct pb_watch *watch);
 /* Asks at once if the watch had paused. */
 void pb_resume_watch(struct pb_watch *watch);
 /* Lists everything as soon as possible, paused or not. */
@@ -248,7 +250,13 @@
 /* gateway-follow.c: learns from another router instead of from the store. */
 struct pb_follow *pb_new_follow(struct pb_gateway *gw);
 void pb_drop_follow(struct pb_follow *follow);
+/*
+ * True while a router is followed that comes before this one in the order: its
+ * knowledge replaces the store's and may be passed on.
+ */
 bool pb_is_following(const struct pb_follow *follow);
+/* True if the router that is followed has a newer configuration. */
+bool pb_is_behind(const struct pb_follow *follow);
 void pb_apply_router_row(
     struct pb_follow *follow, const struct pb_store_row *row);
 
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -121,9 +121,10 @@
 	if (gw->routing == NULL || gw->instances_fresh_us == 0 ||
 	    gw->stop_us != 0)
 		return false;
-	return pb_is_following(gw->follow) ||
-	    (!pb_is_watch_lost(gw->routing_watch) &&
-		!pb_is_watch_lost(gw->instance_watch));
+	if (pb_is_following(gw->follow))
+		return !pb_is_behind(gw->follow);
+	return !pb_is_watch_lost(gw->routing_watch) &&
+	    !pb_is_watch_lost(gw->instance_watch);
 }
 
 static void
@@ -133,6 +134,18 @@
 	pb_reply_front(front, 503, PB_STR_NONE, PB_STR_NONE);
 }
 
+static void
+send_routing(struct pb_front *front)
+{
+	struct pb_gateway *gw = front->gw;
+	char tag[48];
+
+	snprintf(tag, sizeof(tag), "ETag: %lld\r\n",
+	    (long long)gw->routing_row);
+	pb_reply_front(front, 200, pb_str_from(tag),
+	    (struct pb_str){gw->routing_text.data, gw->routing_text.len});
+}
+
 static void
 on_question(struct pb_front *front)
 {
@@ -145,9 +158,7 @@
 		return;
 	}
 	if (pb_str_equal_c(target, PB_ROUTING_PATH)) {
-		pb_reply_front(front, 200, PB_STR_NONE,
-		    (struct pb_str){
-			gw->routing_text.data, gw->routing_text.len});
+		send_routing(front);
 		return;
 	}
 	if (!decode_question(front, &q)) {
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -7,8 +7,9 @@
 #define ANSWER_LIMIT_US (700 * PB_MSEC)
 /* A listing may be large. */
 #define LIST_LIMIT_US (2 * PB_SEC)
-#define RETRY_MIN_US (100 * PB_MSEC)
-#define RETRY_MAX_US (300 * PB_MSEC)
+/* The pause after a failed question doubles, with jitter, up to the limit. */
+#define RETRY_MIN_US (80 * PB_MSEC)
+#define RETRY_MAX_US (600 * PB_MSEC)
 /* Shortest time between a question and a listing that is asked for. */
 #define LIST_MIN_US (500 * PB_MSEC)
 
@@ -23,10 +24,12 @@
 	int64_t list_sent_us; /* when the listing in progress began */
 	int64_t listed_us; /* start of the last complete listing */
 	int64_t lost_us; /* since when the store is away; 0: it answers */
+	int64_t retry_us; /* pause after the next failure */
 	char after[256]; /* key after which the listing goes on */
 	bool listing; /* the call in progress lists */
 	bool must_list;
 	bool paused;
+	bool failed; /* the last question had no answer */
 	int status;
 };
 
@@ -52,15 +55,19 @@
 note_lost(struct pb_watch *w, const char *why)
 {
 	struct pb_gateway *gw = w->gw;
-	int64_t span = RETRY_MAX_US - RETRY_MIN_US;
+	double jitter = 0.5 + pb_next_unit(&gw->rnd);
 
+	w->failed = true;
 	if (w->lost_us == 0) {
+		w->retry_us = RETRY_MIN_US;
 		w->lost_us = pb_now(gw->ctx);
 		pb_log(gw->ctx, PB_WARN, "watch store", gw->settings.store,
 		    NULL, "lost %s: %s", w->ops->name, why);
 	}
-	schedule(
-	    w, RETRY_MIN_US + (int64_t)(pb_next_unit(&gw->rnd) * (double)span));
+	schedule(w, (int64_t)((double)w->retry_us * jitter));
+	w->retry_us *= 2;
+	if (w->retry_us > RETRY_MAX_US)
+		w->retry_us = RETRY_MAX_US;
 }
 
 static void
@@ -68,6 +75,7 @@
 {
 	struct pb_gateway *gw = w->gw;
 
+	w->failed = false;
 	if (w->lost_us == 0)
 		return;
 	pb_log(gw->ctx, PB_INFO, "watch store", gw->settings.store, NULL,
@@ -273,7 +281,9 @@
 ask(struct pb_watch *w)
 {
 	w->paused = w->ops->pauses && pb_is_following(w->gw->follow);
-	if (!w->paused)
+	if (w->paused)
+		w->lost_us = 0; /* not known while it does not ask */
+	else
 		send_question(w);
 }
 
@@ -283,6 +293,12 @@
 	return watch->lost_us != 0;
 }
 
+bool
+pb_has_watch_failed(const struct pb_watch *watch)
+{
+	return watch->failed;
+}
+
 void
 pb_resume_watch(struct pb_watch *watch)
 {
--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -2,12 +2,13 @@
  * Stand-in for the platform's store in its published form: rows by table and
  * key, listings, feeds and transactions. For tests.
  *
- *   pb-rows PORT
+ *   pb-rows PORT [SECOND-PORT]
  *
  * Control calls, so that a test plays the operator and the outages:
  *   PUT /control/row/TABLE/KEY    stores the body as the row's value
  *   DELETE /control/row/TABLE/KEY
- *   PUT /control/mode             body: ok, down, silent, forget or slow MS
+ *   PUT /control/mode             body: ok, down, silent, forget, slow MS or
+ *                               refuse (calls at the second port get 429)
  *   GET /control/calls            number of calls answered or refused
  *   GET /control/row/TABLE/KEY    the value of a row, for checks
  */
@@ -45,7 +46,8 @@
 enum mode {
 	MODE_OK,
 	MODE_DOWN,
-	MODE_SILENT
+	MODE_SILENT,
+	MODE_REFUSE
 };
 
 struct store {
@@ -319,6 +321,8 @@
 	s->mode = MODE_OK;
 	if (strncmp(text, "down", 4) == 0)
 		s->mode = MODE_DOWN;
+	else if (strncmp(text, "refuse", 6) == 0)
+		s->mode = MODE_REFUSE;
 	else if (strncmp(text, "silent", 6) == 0)
 		s->mode = MODE_SILENT;
 	else if (strncmp(text, "slow ", 5) == 0)
@@ -393,16 +397,12 @@
 }
 
 static void
-on_request(struct evhttp_request *req, void *arg)
+serve_store(struct store *s, struct evhttp_request *req)
 {
-	struct store *s = arg;
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
 	const char *path = evhttp_uri_get_path(uri);
 	struct evkeyvalq q;
 
-	if (serve_control(s, req, path))
-		return;
-	s->calls++;
 	if (s->mode == MODE_SILENT)
 		return;
 	if (s->mode == MODE_DOWN) {
@@ -424,27 +424,60 @@
 	evhttp_clear_headers(&q);
 }
 
+static void
+on_second_request(struct evhttp_request *req, void *arg)
+{
+	struct store *s = arg;
+
+	s->calls++;
+	if (s->mode == MODE_REFUSE)
+		send_json(s, req, 429, json_object());
+	else
+		serve_store(s, req);
+}
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	struct store *s = arg;
+
+	if (serve_control(s, req,
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req))))
+		return;
+	s->calls++;
+	serve_store(s, req);
+}
+
+static struct evhttp *
+listen_at(struct store *s, const char *port,
+    void (*serve)(struct evhttp_request *, void *))
+{
+	struct evhttp *http = evhttp_new(s->base);
+
+	evhttp_set_allowed_methods(http,
+	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+		EVHTTP_REQ_DELETE);
+	evhttp_set_gencb(http, serve, s);
+	if (evhttp_bind_socket(
+		http, "127.0.0.1", (ev_uint16_t)atoi(port)) == 0)
+		return http;
+	fprintf(stderr, "pb-rows: port %s is taken\n", port);
+	return NULL;
+}
+
 int
 main(int argc, char **argv)
 {
 	struct store *s = calloc(1, sizeof(*s));
-	struct evhttp *http;
 
-	if (argc != 2 || s == NULL) {
-		fprintf(stderr, "usage: pb-rows PORT\n");
+	if (argc < 2 || argc > 3 || s == NULL) {
+		fprintf(stderr, "usage: pb-rows PORT [SECOND-PORT]\n");
 		return 2;
 	}
 	s->base = event_base_new();
-	http = evhttp_new(s->base);
-	evhttp_set_allowed_methods(http,
-	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-		EVHTTP_REQ_DELETE);
-	evhttp_set_gencb(http, on_request, s);
-	if (evhttp_bind_socket(
-		http, "127.0.0.1", (ev_uint16_t)atoi(argv[1])) != 0) {
-		fprintf(stderr, "pb-rows: port %s is taken\n", argv[1]);
+	if (listen_at(s, argv[1], on_request) == NULL ||
+	    (argc == 3 && listen_at(s, argv[2], on_second_request) == NULL))
 		return 1;
-	}
 	event_base_dispatch(s->base);
 	return 0;
 }
--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -4,6 +4,7 @@
 . tests/lib/fleet-lib.sh
 
 store_port=$FLEET_PORT
+second_store_port=$((FLEET_PORT + 1)) # refuses in the mode "refuse"
 store_url="http://127.0.0.1:$store_port"
 route_host=shop.example
 account_key=key-of-a
@@ -16,7 +17,7 @@
 gateway_url() { echo "http://127.0.0.1:$(gateway_port "$1")"; }
 
 start_store() {
-	launch store "$FLEET_BIN/pb-rows" "$store_port"
+	launch store "$FLEET_BIN/pb-rows" "$store_port" "$second_store_port"
 	await 5 answers "$store_url/control/calls"
 }
 
@@ -87,7 +88,7 @@
 		echo "ready: 127.0.0.1:$(ready_port "$n")"
 		echo "metrics: 127.0.0.1:$(metrics_port "$n")"
 		echo "peer: 127.0.0.1:$(gateway_peer_port "$n")"
-		echo "store: 127.0.0.1:$store_port"
+		echo "store: 127.0.0.1:${STORE_PORT:-$store_port}"
 		printf '%s\n' "$@"
 	} >"$FLEET_DIR/g$n.yaml"
 	launch "g$n" "$FLEET_BIN/poplarbeam-gateway" "$FLEET_DIR/g$n.yaml"
--- a/tests/scripts/gateway-follow.sh
+++ b/tests/scripts/gateway-follow.sh
@@ -8,7 +8,8 @@
 start_store
 start_backend 1 app
 apply_config 1
-for n in 1 2 3 4; do start_gateway $n; done
+for n in 1 2 3; do start_gateway $n; done
+STORE_PORT=$second_store_port start_gateway 4
 for n in 1 2 3 4; do wait_gateway $n; done
 following() {
 	[ "$(grep -l 'followed instead' "$FLEET_DIR"/g?.out | wc -l)" -ge 3 ]
@@ -33,6 +34,15 @@
 announce_backend 1 app ready 3
 await 2 all_answer 200 "1 2 3 4" && echo "and is back"
 
+# The store turns one router away: it takes the configuration from another one.
+store_mode refuse
+apply_config 4 other-key
+await 2 all_answer 401 "1 2 3 4" && echo "one turned away: change everywhere"
+apply_config 5
+sleep 6
+all_answer 200 "1 2 3 4" && echo "keys are confirmed by another router"
+store_mode ok
+
 # The router that all follow is frozen: the others go on by themselves.
 leader=$(grep -ho '"peer":"g[0-9]","text":"followed' "$FLEET_DIR"/g?.out |
     grep -o 'g[0-9]' | sort | uniq -c | sort -rn | awk 'NR == 1 {print $2}')
@@ -45,6 +55,6 @@
 kill -CONT "$(pid_of "$leader")"
 await 3 all_answer 200 "1 2 3 4" && echo "leader awake: up to date"
 kill -KILL "$(pid_of "$leader")"
-apply_config 4 other-key
+apply_config 6 other-key
 await 3 all_answer 401 "$others" && echo "leader killed: change seen"
 end_report gateway-follow
