--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -281,6 +281,9 @@
 ask(struct pb_watch *w)
 {
 	w->paused = w->ops->pauses && pb_is_following(w->gw->follow);
+	/* A listing may still be on its way from before a pause. */
+	if (w->call.link != NULL)
+		return;
 	if (w->paused)
 		w->lost_us = 0; /* not known while it does not ask */
 	else
--- a/source/http/http-reader.c
+++ b/source/http/http-reader.c
@@ -67,11 +67,53 @@
 	return 0;
 }
 
+static bool
+is_number(struct pb_str v)
+{
+	size_t i;
+
+	for (i = 0; i < v.len; i++) {
+		if (v.data[i] < '0' || v.data[i] > '9')
+			return false;
+	}
+	return v.len > 0;
+}
+
+/*
+ * http-parser takes some codings that another reader could take for something
+ * else; the only one here is a single "chunked".
+ */
+static bool
+is_framing_clear(const struct pb_http_head *h)
+{
+	size_t i, codings = 0, lengths = 0;
+
+	for (i = 0; i < h->field_count; i++) {
+		struct pb_str name = pb_http_name(h, i);
+		struct pb_str value = pb_http_value(h, i);
+
+		if (pb_same_http_name(name, "Transfer-Encoding")) {
+			if (!pb_same_http_name(value, "chunked"))
+				return false;
+			codings++;
+		} else if (pb_same_http_name(name, "Content-Length")) {
+			if (!is_number(value))
+				return false;
+			lengths++;
+		}
+	}
+	return codings + lengths <= 1;
+}
+
 static int
 on_head_done(http_parser *parser)
 {
 	struct pb_http_reader *r = reader_of(parser);
 
+	if (!is_framing_clear(&r->head)) {
+		r->error = PB_HTTP_MALFORMED;
+		return -1;
+	}
 	r->head_done = true;
 	r->head.method = parser->method;
 	r->head.status = parser->status_code;
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -46,9 +46,11 @@
 }
 
 static bool
-is_failing(const struct pb_instance *inst)
+is_failing(const struct pb_instance *inst, int64_t now)
 {
-	return inst->failures >= FAILURES_MIN &&
+	double keep = pb_outcome_weight(now - inst->outcomes_us);
+
+	return inst->failures * keep >= FAILURES_MIN &&
 	    inst->failures > FAILURE_SHARE * inst->outcomes;
 }
 
@@ -70,7 +72,7 @@
 {
 	if (demand != DEMAND_ANY && now < inst->avoid_until_us)
 		return false;
-	return demand != DEMAND_SOUND || !is_failing(inst);
+	return demand != DEMAND_SOUND || !is_failing(inst, now);
 }
 
 struct survey {
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -24,6 +24,8 @@
 	size_t departure_count; /* so far */
 };
 
+/* What an outcome of that age still counts. */
+double pb_outcome_weight(int64_t age_us);
 /* Remembers a removal for followers. */
 void pb_note_departure(struct pb_registry *registry, const char *id);
 
--- a/source/registry/registry-load.c
+++ b/source/registry/registry-load.c
@@ -27,13 +27,18 @@
 	instance->reported_us = pb_now(ctx);
 }
 
+double
+pb_outcome_weight(int64_t age_us)
+{
+	return exp2(-(double)age_us / (double)OUTCOME_HALF_LIFE_US);
+}
+
 void
 pb_note_outcome(
     struct pb_context *ctx, struct pb_instance *instance, bool failed)
 {
 	int64_t now = pb_now(ctx);
-	double age = (double)(now - instance->outcomes_us);
-	double keep = exp2(-age / (double)OUTCOME_HALF_LIFE_US);
+	double keep = pb_outcome_weight(now - instance->outcomes_us);
 
 	instance->failures = instance->failures * keep + (failed ? 1 : 0);
 	instance->outcomes = instance->outcomes * keep + 1;
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -77,7 +77,8 @@
 }
 
 static void
-copy_field(const struct pb_http_head *h, const char *name, char *out, size_t cap)
+copy_field(
+    const struct pb_http_head *h, const char *name, char *out, size_t cap)
 {
 	struct pb_str v = pb_find_http_field(h, name);
 
@@ -135,8 +136,8 @@
 	size_t n = strlen(BODY) + strlen(c->backend->id);
 
 	send_head(c, status, request_id, sealed);
-	evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n" BODY "%s", n,
-	    c->backend->id);
+	evbuffer_add_printf(
+	    out, "Content-Length: %zu\r\n\r\n" BODY "%s", n, c->backend->id);
 }
 
 static void
@@ -174,7 +175,8 @@
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
 	char text[64];
-	int n = snprintf(text, sizeof(text), "id: %d\ndata: part %d\n\n", id, id);
+	int n =
+	    snprintf(text, sizeof(text), "id: %d\ndata: part %d\n\n", id, id);
 
 	evbuffer_add_printf(out, "%x\r\n%s\r\n", n, text);
 }
@@ -310,9 +312,10 @@
 	c->work_ms = query != NULL ? atoi(query + 5) : 5;
 	target[strcspn(target, "?")] = '\0';
 	slash = strrchr(target, '/');
-	pb_copy_str(c->action, sizeof(c->action), slash != NULL ? slash + 1 : "");
-	copy_field(h, "X-Poplarbeam-Attempt-Id", c->request_id,
-	    sizeof(c->request_id));
+	pb_copy_str(
+	    c->action, sizeof(c->action), slash != NULL ? slash + 1 : "");
+	copy_field(
+	    h, "X-Poplarbeam-Attempt-Id", c->request_id, sizeof(c->request_id));
 	if (is_misdirected(c, h)) {
 		send_whole(c, 421, c->request_id, false);
 		next_request(c);
@@ -348,8 +351,8 @@
 	size_t n, len;
 
 	while (!c->reader.complete && (len = evbuffer_get_length(in)) > 0) {
-		n = pb_feed_http(&c->reader,
-		    (const char *)evbuffer_pullup(in, -1), len);
+		n = pb_feed_http(
+		    &c->reader, (const char *)evbuffer_pullup(in, -1), len);
 		evbuffer_drain(in, n);
 		if (c->reader.error != PB_HTTP_OK) {
 			drop_conn(c);
@@ -392,8 +395,7 @@
 	c->bev = bufferevent_socket_new(
 	    b->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	c->timer = evtimer_new(b->base, on_timer, c);
-	pb_init_http_reader(
-	    &c->reader, HTTP_REQUEST, NULL, c, 65536, 16 << 20);
+	pb_init_http_reader(&c->reader, HTTP_REQUEST, NULL, c, 65536, 16 << 20);
 	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -158,8 +158,8 @@
 answer_rows(struct store *s, struct evhttp_request *req, json_t *rows)
 {
 	send_json(s, req, 200,
-	    json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "more-pages", 0,
-		"ver", (json_int_t)s->version, "now-ms", (json_int_t)0));
+	    json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "more-pages", 0, "ver",
+		(json_int_t)s->version, "now-ms", (json_int_t)0));
 }
 
 static void
@@ -458,8 +458,7 @@
 	    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
 		EVHTTP_REQ_DELETE);
 	evhttp_set_gencb(http, serve, s);
-	if (evhttp_bind_socket(
-		http, "127.0.0.1", (ev_uint16_t)atoi(port)) == 0)
+	if (evhttp_bind_socket(http, "127.0.0.1", (ev_uint16_t)atoi(port)) == 0)
 		return http;
 	fprintf(stderr, "pb-rows: port %s is taken\n", port);
 	return NULL;
--- a/tests/scripts/gateway-follow.sh
+++ b/tests/scripts/gateway-follow.sh
@@ -44,9 +44,15 @@
 store_mode ok
 
 # The router that all follow is frozen: the others go on by themselves.
-leader=$(grep -ho '"peer":"g[0-9]","text":"followed' "$FLEET_DIR"/g?.out |
-    grep -o 'g[0-9]' | sort | uniq -c | sort -rn | awk 'NR == 1 {print $2}')
-others=$(echo 1 2 3 4 | tr -d "${leader#g}")
+# find_leader: the router that most of the others follow now.
+find_leader() {
+	leader=$(for n in 1 2 3 4; do
+		grep -o '"peer":"g[0-9]","text":"followed' \
+		    "$FLEET_DIR/g$n.out" | tail -1 | grep -o 'g[0-9]'
+	done | sort | uniq -c | sort -rn | awk 'NR == 1 {print $2}')
+	others=$(echo 1 2 3 4 | tr -d "${leader#g}")
+}
+find_leader
 kill -STOP "$(pid_of "$leader")"
 announce_backend 1 app draining 4
 await 3 all_answer 503 "$others" && echo "leader frozen: change seen"
@@ -54,7 +60,17 @@
 await 3 all_answer 200 "$others" && echo "and the next one"
 kill -CONT "$(pid_of "$leader")"
 await 3 all_answer 200 "1 2 3 4" && echo "leader awake: up to date"
-kill -KILL "$(pid_of "$leader")"
+find_leader
+# Killed while the others list the change at a slow store.
+store_mode "slow 400"
+sleep 1
 apply_config 6 other-key
-await 3 all_answer 401 "$others" && echo "leader killed: change seen"
+sleep 0.8
+kill -KILL "$(pid_of "$leader")"
+await 4 all_answer 401 "$others" && echo "leader killed: change seen"
+store_mode ok
+sleep 1
+for n in $others; do
+	gateway_ended "$n" && echo "router $n ended by itself"
+done
 end_report gateway-follow
--- /dev/null
+++ b/tests/test-registry.c
@@ -0,0 +1,293 @@
+#include "poplarbeam/registry.h"
+
+#include "run-suite.h"
+#include <stdlib.h>
+#include <string.h>
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+static struct pb_random rnd;
+
+static void
+apply(struct pb_registry *reg, const char *id, const char *domain,
+    bool draining, int64_t started)
+{
+	struct pb_instance_entry e = {.id = pb_str_from(id),
+	    .service = pb_str_from("s"),
+	    .address = pb_str_from("127.0.0.1:80"),
+	    .domain = pb_str_from(domain),
+	    .slots = 8,
+	    .draining = draining,
+	    .started_ms = started};
+
+	CU_ASSERT_EQUAL(pb_apply_instance(ctx, reg, &e), PB_OK);
+}
+
+/* Instances i0, i1, ... in domains a, b and c in turn. */
+static struct pb_registry *
+new_fleet(int count)
+{
+	struct pb_registry *reg = pb_new_registry(ctx, NULL, NULL);
+	static const char *const domains[] = {"a", "b", "c"};
+	char id[16];
+	int i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(id, sizeof(id), "i%d", i);
+		apply(reg, id, domains[i % 3], false, 1);
+	}
+	return reg;
+}
+
+static struct pb_instance *
+choose(struct pb_registry *reg, const char *domain, uint64_t affinity)
+{
+	struct pb_placement p = {.service = pb_str_from("s"),
+	    .domain = pb_str_from(domain),
+	    .affinity = affinity,
+	    .rnd = &rnd};
+	struct pb_placement_facts facts;
+
+	return pb_choose_instance(ctx, reg, &p, &facts);
+}
+
+/* Guards against a prefix that every failure domain reads once more. */
+static void
+test_one_home(void)
+{
+	struct pb_registry *reg = new_fleet(12);
+	uint64_t key;
+
+	for (key = 1; key < 200; key++) {
+		struct pb_instance *home = choose(reg, "a", key);
+
+		CU_ASSERT_PTR_EQUAL(choose(reg, "b", key), home);
+		CU_ASSERT_PTR_EQUAL(choose(reg, "c", key), home);
+	}
+	pb_drop_registry(ctx, reg);
+}
+
+/*
+ * Guards against a hot prefix that overloads its home: a router sends 400
+ * requests, most of them for one prefix, and none of them ends.
+ */
+static void
+test_hot_prefix(void)
+{
+	struct pb_registry *reg = new_fleet(12);
+	int i, most = 0;
+
+	for (i = 0; i < 400; i++) {
+		struct pb_instance *inst =
+		    choose(reg, "a", i % 3 != 0 ? 7 : 100 + (uint64_t)i);
+
+		pb_note_dispatch(inst);
+	}
+	for (i = 0; i < 12; i++) {
+		char id[16];
+		struct pb_instance *inst;
+
+		snprintf(id, sizeof(id), "i%d", i);
+		inst = pb_find_instance(reg, pb_str_from(id));
+		if (inst->in_flight > most)
+			most = inst->in_flight;
+	}
+	/* Twice the mean + 3 is the bound of the platform. */
+	CU_ASSERT(most <= 2 * 400 / 12 + 3);
+	pb_drop_registry(ctx, reg);
+}
+
+/* Guards against load of other routers that is not counted, or for ever. */
+static void
+test_reported_load(void)
+{
+	struct pb_registry *reg = new_fleet(2);
+	struct pb_instance *a = pb_find_instance(reg, pb_str_from("i0"));
+	struct pb_instance *b = pb_find_instance(reg, pb_str_from("i1"));
+	int i;
+
+	pb_note_load(ctx, a, 20);
+	pb_note_load(ctx, b, 0);
+	for (i = 0; i < 10; i++) {
+		CU_ASSERT_PTR_EQUAL(choose(reg, "a", 0), b);
+		pb_note_dispatch(b);
+	}
+	/* After a while without a report, the load has gone. */
+	pb_advance_clock(&clk, 6 * PB_SEC);
+	CU_ASSERT_PTR_EQUAL(choose(reg, "a", 0), a);
+	pb_drop_registry(ctx, reg);
+}
+
+/* Guards against requests to an instance that fails most of them. */
+static void
+test_failing_instance(void)
+{
+	struct pb_registry *reg = new_fleet(3);
+	struct pb_instance *bad = pb_find_instance(reg, pb_str_from("i1"));
+	int i, chosen = 0;
+
+	for (i = 0; i < 4; i++)
+		pb_note_outcome(ctx, bad, true);
+	for (i = 0; i < 50; i++)
+		chosen += choose(reg, "b", 0) == bad;
+	CU_ASSERT_EQUAL(chosen, 0);
+	pb_advance_clock(&clk, 20 * PB_SEC);
+	CU_ASSERT_PTR_EQUAL(choose(reg, "b", 0), bad);
+	/* When most of them fail, none is avoided for it. */
+	for (i = 0; i < 4; i++) {
+		pb_note_outcome(ctx, bad, true);
+		pb_note_outcome(
+		    ctx, pb_find_instance(reg, pb_str_from("i0")), true);
+	}
+	CU_ASSERT_PTR_EQUAL(choose(reg, "b", 0), bad);
+	pb_drop_registry(ctx, reg);
+}
+
+/* Guards against requests to an instance that leaves or cannot be reached. */
+static void
+test_leaving(void)
+{
+	struct pb_registry *reg = new_fleet(2);
+	struct pb_instance *a = pb_find_instance(reg, pb_str_from("i0"));
+	struct pb_instance *b = pb_find_instance(reg, pb_str_from("i1"));
+
+	apply(reg, "i0", "a", true, 1);
+	CU_ASSERT_PTR_EQUAL(choose(reg, "a", 5), b);
+	apply(reg, "i0", "a", false, 1);
+	pb_note_unreachable(ctx, a);
+	CU_ASSERT_PTR_EQUAL(choose(reg, "a", 0), b);
+	pb_remove_instance(ctx, reg, pb_str_from("i0"));
+	pb_remove_instance(ctx, reg, pb_str_from("i1"));
+	CU_ASSERT_PTR_NULL(choose(reg, "a", 0));
+	pb_drop_registry(ctx, reg);
+}
+
+/* Guards against instances that are lost because the store was away. */
+static void
+test_lapsed_entries(void)
+{
+	struct pb_registry *reg = new_fleet(2);
+
+	pb_defer_removals(reg, pb_now(ctx) + 2 * PB_SEC);
+	pb_begin_listing(reg);
+	apply(reg, "i0", "a", false, 1);
+	pb_end_listing(ctx, reg);
+	CU_ASSERT_EQUAL(pb_count_instances(reg, pb_str_from("s")), 2);
+	pb_advance_clock(&clk, PB_SEC);
+	pb_begin_listing(reg);
+	apply(reg, "i0", "a", false, 1);
+	pb_end_listing(ctx, reg);
+	pb_expire_instances(ctx, reg);
+	CU_ASSERT_EQUAL(pb_count_instances(reg, pb_str_from("s")), 2);
+	pb_advance_clock(&clk, PB_SEC);
+	pb_expire_instances(ctx, reg);
+	CU_ASSERT_EQUAL(pb_count_instances(reg, pb_str_from("s")), 1);
+	/* Later removals take effect at once. */
+	pb_remove_instance(ctx, reg, pb_str_from("i0"));
+	CU_ASSERT_EQUAL(pb_count_instances(reg, pb_str_from("s")), 0);
+	pb_drop_registry(ctx, reg);
+}
+
+/* Guards against knowledge of one process that is kept for the next one. */
+static void
+test_restart(void)
+{
+	struct pb_registry *reg = new_fleet(1);
+	struct pb_instance *old =
+	    pb_keep_instance(pb_find_instance(reg, pb_str_from("i0")));
+
+	pb_note_load(ctx, old, 50);
+	apply(reg, "i0", "a", false, 2);
+	CU_ASSERT(old->gone);
+	CU_ASSERT_EQUAL(pb_find_instance(reg, pb_str_from("i0"))->reported, 0);
+	pb_drop_instance(old);
+	pb_drop_registry(ctx, reg);
+}
+
+/* Applies all changes of one registry after since to another one. */
+static uint64_t
+copy_changes(struct pb_registry *from, struct pb_registry *to, uint64_t since)
+{
+	bool full = pb_needs_full_list(from, pb_registry_epoch(from), since);
+	struct pb_change changes[600];
+	size_t i, n = pb_read_changes(from, since, full, changes, 600);
+
+	if (full)
+		pb_begin_listing(to);
+	for (i = 0; i < n; i++) {
+		const struct pb_instance *inst = changes[i].instance;
+
+		if (inst == NULL)
+			pb_remove_instance(ctx, to, changes[i].id);
+		else
+			apply(to, inst->id, inst->domain, inst->draining,
+			    inst->started_ms);
+	}
+	if (full)
+		pb_end_listing(ctx, to);
+	return pb_registry_sequence(from);
+}
+
+/* Guards against a follower whose list differs from what it follows. */
+static void
+test_changes(void)
+{
+	struct pb_registry *a = new_fleet(0);
+	struct pb_registry *b = new_fleet(0);
+	struct pb_random r = {42};
+	uint64_t since = 0;
+	char id[16];
+	int i;
+
+	for (i = 0; i < 4000; i++) {
+		snprintf(id, sizeof(id), "i%d", (int)(pb_next_random(&r) % 60));
+		if (pb_next_unit(&r) < 0.5)
+			pb_remove_instance(ctx, a, pb_str_from(id));
+		else
+			apply(a, id, "a", pb_next_unit(&r) < 0.3,
+			    (int64_t)(pb_next_random(&r) % 3) + 1);
+		/* Now and then more removals than are remembered. */
+		if (pb_next_unit(&r) >= (i / 1000 % 2 == 0 ? 0.1 : 0.002))
+			continue;
+		since = copy_changes(a, b, since);
+		CU_ASSERT_EQUAL(pb_count_instances(a, pb_str_from("s")),
+		    pb_count_instances(b, pb_str_from("s")));
+	}
+	CU_ASSERT(pb_needs_full_list(a, pb_registry_epoch(a) + 1, since));
+	pb_drop_registry(ctx, a);
+	pb_drop_registry(ctx, b);
+}
+
+/* Guards against heartbeats that are passed on as changes. */
+static void
+test_heartbeats(void)
+{
+	struct pb_registry *reg = new_fleet(5);
+	uint64_t before = pb_registry_sequence(reg);
+
+	apply(reg, "i0", "a", false, 1);
+	CU_ASSERT_EQUAL(pb_registry_sequence(reg), before);
+	apply(reg, "i0", "a", true, 1);
+	CU_ASSERT_EQUAL(pb_registry_sequence(reg), before + 1);
+	pb_drop_registry(ctx, reg);
+}
+
+int
+main(void)
+{
+	static CU_TestInfo tests[] = {{"one home", test_one_home},
+	    {"hot prefix", test_hot_prefix},
+	    {"reported load", test_reported_load},
+	    {"failing instance", test_failing_instance},
+	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
+	    {"restart", test_restart}, {"changes", test_changes},
+	    {"heartbeats", test_heartbeats}, CU_TEST_INFO_NULL};
+	int rc;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	pb_advance_clock(&clk, PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	rc = run_suite("registry", tests);
+	pb_drop_context(ctx);
+	return rc;
+}
--- a/tests/test-retry.c
+++ b/tests/test-retry.c
@@ -127,13 +127,52 @@
 	}
 }
 
+/*
+ * Guards against a budget that is passed in some window: repeats are asked for
+ * all the time while the traffic comes, stops and comes again.
+ */
+static void
+test_window_budget(void)
+{
+	struct pb_retry_window *w =
+	    pb_new_retry_window(ctx, 10 * PB_SEC, 0.2, 2);
+	static int requests[1000], repeats[1000];
+	int i, k;
+
+	for (i = 0; i < 1000; i++) {
+		bool busy = i / 150 % 2 == 0;
+
+		for (k = 0; busy && k < 3; k++) {
+			pb_note_window_request(ctx, w);
+			requests[i]++;
+		}
+		for (k = 0; k < 3; k++)
+			repeats[i] += pb_take_window_retry(ctx, w);
+		pb_advance_clock(&clk, 100 * PB_MSEC);
+	}
+	for (i = 0; i + 100 <= 1000; i++) {
+		int first = 0, again = 0;
+
+		for (k = i; k < i + 100; k++) {
+			first += requests[k];
+			again += repeats[k];
+		}
+		/* Requests of the window before count too. */
+		for (k = i - 100; k < i && i >= 100; k++)
+			first += requests[k];
+		CU_ASSERT(again <= 0.2 * first + 2 + 1e-9);
+	}
+	CU_ASSERT(repeats[0] > 0);
+	pb_drop_retry_window(ctx, w);
+}
+
 int
 main(void)
 {
 	static CU_TestInfo tests[] = {{"never twice", test_never_twice},
 	    {"verdicts", test_verdicts}, {"no more", test_no_more},
 	    {"share with threads", test_share_threads}, {"delay", test_delay},
-	    CU_TEST_INFO_NULL};
+	    {"window budget", test_window_budget}, CU_TEST_INFO_NULL};
 	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
--- /dev/null
+++ b/tests/test-routing.c
@@ -0,0 +1,243 @@
+/* The routing table, and the adapter's decoding of what fills it. */
+#include "platform-adapter.h"
+
+#include "run-suite.h"
+#include <string.h>
+
+static struct pb_manual_clock clk;
+static struct pb_context *ctx;
+
+static const char config[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"r1\",\"host\":\"a.example\",\"prefix\":\"/x/\","
+    "\"kind\":\"idempotent\",\"timeout-ms\":1200,\"service\":\"s1\","
+    "\"max-attempts\":2},"
+    "{\"name\":\"r2\",\"host\":\"a.example\",\"prefix\":\"/x/y/\","
+    "\"kind\":\"streaming\",\"timeout-ms\":15000,\"priority\":2,"
+    "\"resumable\":true,\"public\":true,\"backends\":["
+    "{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}]},"
+    "{\"name\":\"r3\",\"host\":\"b.example\",\"prefix\":\"/x/\","
+    "\"kind\":\"non_idempotent\",\"timeout-ms\":900,\"service\":\"s2\"}],"
+    "\"services\":[{\"name\":\"s1\",\"health-path\":\"/health\","
+    "\"max-conns\":370}],\"limits\":{\"max-header-bytes\":16384,"
+    "\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,"
+    "\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"t1\","
+    "\"api-keys\":[\"k1\",\"k2\"],\"priority\":1},{\"name\":\"t2\","
+    "\"api-keys\":[\"k3\"]}]}";
+
+static struct pb_routing *
+read_config(const char *text)
+{
+	return pb_platform_adapter()->read_routing(ctx, pb_str_from(text));
+}
+
+static const char *
+route_name(const struct pb_routing *r, const char *host, const char *target)
+{
+	static char name[16];
+	const struct pb_route *route =
+	    pb_find_route(r, pb_str_from(host), pb_str_from(target));
+
+	snprintf(name, sizeof(name), "%.*s",
+	    route != NULL ? (int)route->name.len : 4,
+	    route != NULL ? route->name.data : "none");
+	return name;
+}
+
+/* Guards against a request that is handled by another route's service. */
+static void
+test_longest_prefix(void)
+{
+	struct pb_routing *r = read_config(config);
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/x/z"), "r1");
+	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/x/y/z"), "r2");
+	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/x/y"), "r1");
+	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/x"), "none");
+	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/q?/x/"), "none");
+	CU_ASSERT_STRING_EQUAL(route_name(r, "A.Example:80", "/x/"), "r1");
+	CU_ASSERT_STRING_EQUAL(route_name(r, "b.example", "/x/y/z"), "r3");
+	CU_ASSERT_STRING_EQUAL(route_name(r, "c.example", "/x/"), "none");
+	pb_drop_routing(ctx, r);
+}
+
+/* Guards against a key that is taken for another account's. */
+static void
+test_keys(void)
+{
+	struct pb_routing *r = read_config(config);
+	const struct pb_account *a;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT(r->keys_required);
+	a = pb_find_account(r, pb_str_from("k2"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	CU_ASSERT(pb_str_equal_c(a->name, "t1"));
+	CU_ASSERT_EQUAL(a->priority, 1);
+	a = pb_find_account(r, pb_str_from("k3"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	CU_ASSERT_EQUAL(a->priority, PB_NO_PRIORITY);
+	CU_ASSERT_PTR_NULL(pb_find_account(r, pb_str_from("k")));
+	CU_ASSERT_PTR_NULL(pb_find_account(r, pb_str_from("k11")));
+	pb_drop_routing(ctx, r);
+}
+
+/* Guards against weights that are not kept. */
+static void
+test_weights(void)
+{
+	struct pb_routing *r = read_config(config);
+	const struct pb_route *route;
+	int i, second = 0;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	route =
+	    pb_find_route(r, pb_str_from("a.example"), pb_str_from("/x/y/"));
+	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	for (i = 0; i < 1000; i++) {
+		const struct pb_backend *b =
+		    pb_draw_backend(route, (i + 0.5) / 1000);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(b);
+		second += pb_str_equal_c(b->service, "s2");
+	}
+	CU_ASSERT_EQUAL(second, 100);
+	pb_drop_routing(ctx, r);
+}
+
+/* Guards against a broken configuration that is put in force in part. */
+static void
+test_malformed(void)
+{
+	static const char *const bad[] = {"", "[]", "{\"version\":1}",
+	    "{\"version\":1,\"limits\":{},\"routes\":[{\"name\":\"r\","
+	    "\"host\":\"h\",\"prefix\":\"/x\",\"kind\":\"idempotent\","
+	    "\"service\":\"s\"}]}",
+	    "{\"version\":1,\"limits\":{},\"routes\":[{\"name\":\"r\","
+	    "\"host\":\"h\",\"prefix\":\"/x/\",\"kind\":\"odd\","
+	    "\"service\":\"s\"}]}",
+	    "{\"version\":1,\"limits\":{},\"routes\":[{\"name\":\"r\","
+	    "\"host\":\"h\",\"prefix\":\"/x/\",\"kind\":\"idempotent\"}]}"};
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_PTR_NULL(read_config(bad[i]));
+}
+
+static int
+read_entry(
+    const char *value, struct pb_instance_entry *e, struct pb_arena *arena)
+{
+	struct pb_store_row row = {
+	    .key = pb_str_from("i-1"), .value = pb_str_from(value)};
+
+	return pb_platform_adapter()->read_instance(ctx, arena, &row, e);
+}
+
+/* Guards against an entry of another writer that names an instance to use. */
+static void
+test_instance_entries(void)
+{
+	static const char *const bad[] = {"", "no JSON", "{}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":\"8\",\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"odd\"}",
+	    "{\"service\":5,\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"zone\":\"z\",\"slots\":8,"
+	    "\"state\":\"ready\"}"};
+	struct pb_arena *arena = pb_new_arena(ctx);
+	struct pb_instance_entry e;
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		CU_ASSERT_NOT_EQUAL(read_entry(bad[i], &e, arena), PB_OK);
+	CU_ASSERT_EQUAL(
+	    read_entry("{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+		       "\"slots\":8,\"state\":\"draining\",\"born\":170,"
+		       "\"new-field\":{}}",
+		&e, arena),
+	    PB_OK);
+	CU_ASSERT(e.draining);
+	CU_ASSERT_EQUAL(e.slots, 8);
+	CU_ASSERT_EQUAL(e.started_ms, 170);
+	pb_drop_arena(ctx, arena);
+}
+
+/* Guards against pages of the store that are read wrongly or in part. */
+static void
+test_store_page(void)
+{
+	static const char page[] =
+	    "{\"rows\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\","
+	    "\"value\":\"bm9kZS0x\",\"ver\":412},{\"key\":\"old\",\"ver\":413,"
+	    "\"deleted\":true}],\"more-pages\":true,\"ver\":530,"
+	    "\"now-ms\":5}";
+	const struct pb_adapter_ops *ops = pb_platform_adapter();
+	struct pb_arena *arena = pb_new_arena(ctx);
+	struct pb_store_page p;
+
+	CU_ASSERT_EQUAL(
+	    ops->read_page(ctx, arena, pb_str_from(page), &p), PB_OK);
+	CU_ASSERT_EQUAL(p.version, 530);
+	CU_ASSERT(p.more);
+	CU_ASSERT_EQUAL_FATAL(p.count, 2);
+	CU_ASSERT(pb_str_equal_c(p.rows[0].value, "node-1"));
+	CU_ASSERT_EQUAL(p.rows[0].version, 412);
+	CU_ASSERT(ops->is_routing_key(p.rows[0].key));
+	CU_ASSERT(p.rows[1].removed);
+	CU_ASSERT_NOT_EQUAL(
+	    ops->read_page(ctx, arena, pb_str_from("{\"rows\":[]}"), &p),
+	    PB_OK);
+	CU_ASSERT_NOT_EQUAL(
+	    ops->read_page(ctx, arena,
+		pb_str_from("{\"rows\":[{\"key\":\"k\",\"value\":\"!\"}],"
+			    "\"ver\":1}"),
+		&p),
+	    PB_OK);
+	pb_drop_arena(ctx, arena);
+}
+
+/* Guards against fields of the system that a caller sets itself. */
+static void
+test_request_fields(void)
+{
+	const struct pb_adapter_ops *ops = pb_platform_adapter();
+	struct pb_prompt prompt;
+	struct pb_str key;
+
+	CU_ASSERT_EQUAL(
+	    ops->classify_field(pb_str_from("kv-from")), PB_FIELD_RESERVED);
+	CU_ASSERT_EQUAL(ops->classify_field(pb_str_from("x-poplarbeam-tenant")),
+	    PB_FIELD_RESERVED);
+	CU_ASSERT_EQUAL(
+	    ops->classify_field(pb_str_from("X-Other")), PB_FIELD_FORWARD);
+	CU_ASSERT(ops->read_credential(pb_str_from("bearer abc"), &key));
+	CU_ASSERT(pb_str_equal_c(key, "abc"));
+	CU_ASSERT_FALSE(ops->read_credential(pb_str_from("Basic abc"), &key));
+	CU_ASSERT(
+	    ops->read_prompt(pb_str_from("5c:800,91:410,e4:25"), &prompt));
+	CU_ASSERT_EQUAL(prompt.count, 3);
+	CU_ASSERT_EQUAL(prompt.parts[1].tokens, 410);
+	CU_ASSERT_FALSE(ops->read_prompt(pb_str_from("5c:800,,x"), &prompt));
+}
+
+int
+main(void)
+{
+	static CU_TestInfo tests[] = {{"longest prefix", test_longest_prefix},
+	    {"keys", test_keys}, {"weights", test_weights},
+	    {"malformed", test_malformed},
+	    {"instance entries", test_instance_entries},
+	    {"store page", test_store_page},
+	    {"request fields", test_request_fields}, CU_TEST_INFO_NULL};
+	int rc;
+
+	pb_init_manual_clock(&clk, PB_SEC);
+	ctx = pb_new_context(&clk.base, NULL);
+	rc = run_suite("routing", tests);
+	pb_drop_context(ctx);
+	return rc;
+}
