--- a/source/http/http-reader.c
+++ b/source/http/http-reader.c
@@ -79,6 +79,13 @@
 	return v.len > 0;
 }
 
+/* Another reader could drop the space, or the field. */
+static bool
+has_space(struct pb_str name)
+{
+	return name.len == 0 || memchr(name.data, ' ', name.len) != NULL;
+}
+
 /*
  * http-parser takes some codings that another reader could take for something
  * else; the only one here is a single "chunked".
@@ -92,6 +99,8 @@
 		struct pb_str name = pb_http_name(h, i);
 		struct pb_str value = pb_http_value(h, i);
 
+		if (has_space(name))
+			return false;
 		if (pb_same_http_name(name, "Transfer-Encoding")) {
 			if (!pb_same_http_name(value, "chunked"))
 				return false;
