Share load reports between the routers of a domain; trace requests from logs

Messages are bounded to 64 reports. Also: poplarbeam trace, which finds a request's attempts and the beliefs of its routers in collected logs; failed attempts tell whether the connection was kept.

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -43,6 +43,7 @@
 	int reported; /* running and waiting, by its last report */
 	int reported_own; /* of these, this router's */
 	int64_t reported_us; /* 0: no report yet */
+	bool report_shared; /* another router has passed the report on */
 	int64_t avoid_until_us; /* not reachable lately */
 	double failures; /* decaying count of failed requests */
 	double outcomes; /* decaying count of ended requests */
@@ -116,6 +117,15 @@
 /* The instance's own count of running and waiting requests. */
 void pb_note_load(
     struct pb_context *ctx, struct pb_instance *instance, int requests);
+/* The same, seen by another router at that moment. */
+void pb_note_shared_load(struct pb_registry *registry, struct pb_str id,
+    int requests, int64_t reported_us);
+/*
+ * Stores up to cap instances with a report later than since, the newest ones
+ * first, and returns how many; own: only reports that this router has seen.
+ */
+size_t pb_read_reports(const struct pb_registry *registry, int64_t since_us,
+    bool own, const struct pb_instance **instances, size_t cap);
 void pb_note_outcome(
     struct pb_context *ctx, struct pb_instance *instance, bool failed);
 /* Keeps new requests away for a while. */
--- a/include/poplarbeam/routing.h
+++ b/include/poplarbeam/routing.h
@@ -4,8 +4,8 @@
 #include "poplarbeam/base.h"
 
 /*
- * One version of the operator's configuration: routes, services, client
- * accounts and the limits for callers. Immutable once built and counted, so
+ * One version of the operator's configuration: routes, client accounts
+ * and the limits for callers. Immutable once built and counted, so
  * that a request in progress keeps the version that it started with.
  */
 
@@ -49,12 +49,6 @@
 	size_t account; /* index into accounts */
 };
 
-struct pb_service {
-	struct pb_str name;
-	struct pb_str health_path;
-	int max_connections; /* that one upstream accepts from all callers */
-};
-
 struct pb_caller_limits {
 	size_t head_max; /* bytes */
 	size_t body_max; /* bytes */
@@ -68,8 +62,6 @@
 	int64_t version;
 	struct pb_route *routes; /* by host and prefix */
 	size_t route_count;
-	struct pb_service *services;
-	size_t service_count;
 	struct pb_account *accounts;
 	size_t account_count;
 	struct pb_account_key *keys; /* by key */
@@ -92,10 +84,8 @@
 const struct pb_route *pb_find_route(
     const struct pb_routing *routing, struct pb_str host, struct pb_str target);
 /* The holder of a key, or NULL. */
-const struct pb_account *pb_find_account(
+const struct pb_account *pb_find_key_holder(
     const struct pb_routing *routing, struct pb_str key);
-const struct pb_service *pb_find_service(
-    const struct pb_routing *routing, struct pb_str name);
 /* Chooses a service by weight; draw is in [0, 1). NULL: none has weight. */
 const struct pb_backend *pb_draw_backend(
     const struct pb_route *route, double draw);
--- a/source/cli/cli-main.c
+++ b/source/cli/cli-main.c
@@ -19,6 +19,7 @@
     {"status", pb_run_status, "show a router's view of the fleet"},
     {"timeline", pb_run_timeline, "merge the events of all routers"},
     {"explain", pb_run_explain, "tell what happened to one request"},
+    {"trace", pb_run_trace, "tell from logs what happened to one request"},
     {"drain", pb_run_drain, "stop a router gracefully"},
 };
 
--- a/source/cli/cli.h
+++ b/source/cli/cli.h
@@ -44,6 +44,7 @@
 pb_command_fn pb_run_drain;
 pb_command_fn pb_run_timeline;
 pb_command_fn pb_run_explain;
+pb_command_fn pb_run_trace;
 
 /* Options that most commands have. */
 struct pb_common_args {
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -15,6 +15,7 @@
 #endif
 
 #define CHANGE_TEXT_MAX 64
+#define LOAD_REPORTS_MAX 64
 
 typedef char *change_text;
 
@@ -30,10 +31,22 @@
 };
 typedef struct change_entry change_entry;
 
+struct load_report {
+	change_text id;
+	int requests;
+	quad_t age;
+};
+typedef struct load_report load_report;
+
 struct change_question {
 	u_quad_t epoch;
 	u_quad_t since;
 	quad_t routing_row;
+	quad_t reports_since;
+	struct {
+		u_int reports_len;
+		load_report *reports_val;
+	} reports;
 };
 typedef struct change_question change_question;
 
@@ -48,6 +61,11 @@
 		u_int entries_len;
 		change_entry *entries_val;
 	} entries;
+	quad_t clock;
+	struct {
+		u_int reports_len;
+		load_report *reports_val;
+	} reports;
 };
 typedef struct change_answer change_answer;
 
@@ -62,6 +80,7 @@
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_change_text (XDR *, change_text*);
 extern  bool_t xdr_change_entry (XDR *, change_entry*);
+extern  bool_t xdr_load_report (XDR *, load_report*);
 extern  bool_t xdr_change_question (XDR *, change_question*);
 extern  bool_t xdr_change_answer (XDR *, change_answer*);
 extern  bool_t xdr_router_row (XDR *, router_row*);
@@ -69,6 +88,7 @@
 #else /* K&R C */
 extern bool_t xdr_change_text ();
 extern bool_t xdr_change_entry ();
+extern bool_t xdr_load_report ();
 extern bool_t xdr_change_question ();
 extern bool_t xdr_change_answer ();
 extern bool_t xdr_router_row ();
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -5,6 +5,7 @@
  */
 
 const CHANGE_TEXT_MAX = 64;	/* bytes */
+const LOAD_REPORTS_MAX = 64;	/* of one message: about 2 KB */
 
 typedef string change_text<CHANGE_TEXT_MAX>;
 
@@ -20,11 +21,20 @@
 	hyper started_ms;
 };
 
+/* What an instance said of its load in an answer. */
+struct load_report {
+	change_text id;
+	int requests;		/* running and waiting */
+	hyper age;		/* microseconds */
+};
+
 /* What has changed since? */
 struct change_question {
 	unsigned hyper epoch;
 	unsigned hyper since;
 	hyper routing_row;	/* store version of the known configuration */
+	hyper reports_since;	/* clock of the last answer; 0: none yet */
+	load_report reports<LOAD_REPORTS_MAX>; /* seen since the last question */
 };
 
 struct change_answer {
@@ -39,6 +49,8 @@
 	hyper routing_age;
 	hyper instances_age;
 	change_entry entries<>;
+	hyper clock;		/* of the answering process, microseconds */
+	load_report reports<LOAD_REPORTS_MAX>; /* newer than reports_since */
 };
 
 /* Value of a router's row in the store. */
--- a/source/gateway/gateway-announce.c
+++ b/source/gateway/gateway-announce.c
@@ -9,7 +9,7 @@
 #define ROW_MAX 256 /* bytes */
 
 struct pb_announce {
-	struct pb_call call;
+	struct pb_link_call call;
 	struct pb_gateway *gw;
 	struct event *timer;
 	int status;
@@ -27,20 +27,20 @@
 }
 
 static void
-on_head(struct pb_call *call)
+on_head(struct pb_link_call *call)
 {
 	((struct pb_announce *)call)->status = call->link->reader.head.status;
 }
 
 static void
-on_body(struct pb_call *call, struct pb_str part)
+on_body(struct pb_link_call *call, struct pb_str part)
 {
 	(void)call;
 	(void)part;
 }
 
 static void
-on_done(struct pb_call *call)
+on_done(struct pb_link_call *call)
 {
 	struct pb_announce *a = (struct pb_announce *)call;
 
@@ -55,14 +55,14 @@
 }
 
 static void
-on_failed(struct pb_call *call, enum pb_link_failure failure)
+on_failed(struct pb_link_call *call, enum pb_link_failure failure)
 {
 	(void)failure;
 	/* The row is the same each time, so a write may be done twice. */
 	schedule((struct pb_announce *)call, RETRY_US);
 }
 
-static const struct pb_call_ops call_ops = {
+static const struct pb_link_call_ops call_ops = {
     on_head, on_body, on_done, on_failed};
 
 static void
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -5,7 +5,7 @@
 /* An attempt with less time than this cannot end in time. */
 #define ATTEMPT_MIN_US (20 * PB_MSEC)
 
-static const struct pb_call_ops call_ops;
+static const struct pb_link_call_ops call_ops;
 
 bool
 pb_take_attempt(struct pb_exchange *x)
@@ -53,6 +53,7 @@
 		rc = append_request(x, &buf);
 	if (link != NULL && rc != PB_OK)
 		pb_drop_link(link);
+	x->on_kept_link = link != NULL && link->reused;
 	if (rc == PB_OK)
 		rc = pb_send_call(link, &x->call,
 		    (struct pb_str){buf.data, buf.len},
@@ -161,7 +162,7 @@
 }
 
 static void
-on_head(struct pb_call *call)
+on_head(struct pb_link_call *call)
 {
 	struct pb_exchange *x = (struct pb_exchange *)call;
 	const struct pb_http_head *h = &call->link->reader.head;
@@ -187,7 +188,7 @@
 }
 
 static void
-on_body(struct pb_call *call, struct pb_str part)
+on_body(struct pb_link_call *call, struct pb_str part)
 {
 	struct pb_exchange *x = (struct pb_exchange *)call;
 
@@ -247,14 +248,17 @@
 	    id, sizeof(id), "%.*s", (int)x->request_id.len, x->request_id.data);
 	pb_log(x->gw->ctx, PB_WARN, "attempt failed",
 	    x->instance != NULL ? x->instance->id : NULL, id,
-	    "%s after %lld ms; attempt %d of %d, status %d, ran: %s", why,
+	    "%s after %lld ms; attempt %d of %d on a %s connection, "
+	    "status %d, ran: %s",
+	    why,
 	    (long long)((pb_now(x->gw->ctx) - x->attempt_us) / PB_MSEC),
-	    x->attempts, x->route->max_attempts, x->status,
+	    x->attempts, x->route->max_attempts,
+	    x->on_kept_link ? "kept" : "new", x->status,
 	    x->facts.not_run ? "no" : "unknown");
 }
 
 static void
-on_done(struct pb_call *call)
+on_done(struct pb_link_call *call)
 {
 	struct pb_exchange *x = (struct pb_exchange *)call;
 	bool failed = is_failure(x);
@@ -280,7 +284,7 @@
 }
 
 static void
-on_failed(struct pb_call *call, enum pb_link_failure failure)
+on_failed(struct pb_link_call *call, enum pb_link_failure failure)
 {
 	struct pb_exchange *x = (struct pb_exchange *)call;
 	struct pb_gateway *gw = x->gw;
@@ -303,5 +307,5 @@
 		give_up(x, "connection broken");
 }
 
-static const struct pb_call_ops call_ops = {
+static const struct pb_link_call_ops call_ops = {
     on_head, on_body, on_done, on_failed};
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -164,10 +164,12 @@
 static void
 expire_exchange(struct pb_exchange *x)
 {
-	if (x->attempts == 0)
+	if (x->attempts == 0 && !x->may_have_run) {
 		pb_fail_exchange(x, 503, "not sent in time");
-	else
-		pb_fail_exchange(x, 504, "timeout");
+		return;
+	}
+	x->may_have_run = true;
+	pb_fail_exchange(x, 504, "timeout");
 }
 
 /* Nothing came from the upstream for too long. */
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -17,6 +17,8 @@
 /* Gathers changes that follow each other closely in one answer. */
 #define ASK_PAUSE_US (50 * PB_MSEC)
 #define NO_PEER_RETRY_US (2 * PB_SEC)
+/* Bytes of one question with all its reports. */
+#define QUESTION_MAX (LOAD_REPORTS_MAX * (CHANGE_TEXT_MAX + 24) + 128)
 /* A router that does not answer is left alone for this long. */
 #define AVOID_US (5 * PB_SEC)
 /* A router that has not heard from the store for longer is of no use. */
@@ -29,7 +31,7 @@
 };
 
 struct pb_follow {
-	struct pb_call call;
+	struct pb_link_call call;
 	struct pb_gateway *gw;
 	struct event *timer;
 	struct candidate *candidates; /* of the own domain */
@@ -39,6 +41,8 @@
 	uint64_t epoch; /* of the router followed; 0: none */
 	uint64_t since;
 	int64_t sent_us;
+	int64_t reported_us; /* own reports up to here were sent */
+	int64_t reports_since; /* clock of the peer at its last answer */
 	int status;
 	int64_t routing_row; /* store version of the configuration fetched */
 	bool following;
@@ -153,6 +157,8 @@
 		apply_entry(gw, &a->entries.entries_val[i]);
 	if (a->full)
 		pb_end_listing(gw->ctx, gw->registry);
+	pb_apply_reports(gw, a->reports.reports_val, a->reports.reports_len);
+	f->reports_since = a->clock;
 	f->epoch = a->epoch;
 	f->since = a->sequence;
 	f->behind = a->routing_row > gw->routing_row;
@@ -188,7 +194,7 @@
 }
 
 static void
-on_head(struct pb_call *call)
+on_head(struct pb_link_call *call)
 {
 	struct pb_follow *f = (struct pb_follow *)call;
 	const struct pb_http_head *h = &call->link->reader.head;
@@ -202,7 +208,7 @@
 }
 
 static void
-on_body(struct pb_call *call, struct pb_str part)
+on_body(struct pb_link_call *call, struct pb_str part)
 {
 	struct pb_follow *f = (struct pb_follow *)call;
 
@@ -228,7 +234,7 @@
 }
 
 static void
-on_done(struct pb_call *call)
+on_done(struct pb_link_call *call)
 {
 	struct pb_follow *f = (struct pb_follow *)call;
 	struct change_answer answer;
@@ -254,7 +260,7 @@
 }
 
 static void
-on_failed(struct pb_call *call, enum pb_link_failure failure)
+on_failed(struct pb_link_call *call, enum pb_link_failure failure)
 {
 	struct pb_follow *f = (struct pb_follow *)call;
 
@@ -264,14 +270,19 @@
 					   : "connection broken");
 }
 
-static const struct pb_call_ops call_ops = {
+static const struct pb_link_call_ops call_ops = {
     on_head, on_body, on_done, on_failed};
 
 static int
 append_question(struct pb_follow *f, struct pb_buf *buf)
 {
-	struct change_question q = {f->epoch, f->since, f->gw->routing_row};
-	char body[64];
+	struct load_report reports[LOAD_REPORTS_MAX];
+	struct change_question q = {.epoch = f->epoch,
+	    .since = f->since,
+	    .routing_row = f->gw->routing_row,
+	    .reports_since = f->reports_since,
+	    .reports = {0, reports}};
+	char body[QUESTION_MAX];
 	XDR xdr;
 	u_int n = 0;
 	int rc;
@@ -280,6 +291,9 @@
 		return pb_append_fmt(buf,
 		    "GET " PB_ROUTING_PATH " HTTP/1.1\r\nHost: %s\r\n\r\n",
 		    f->peer->address);
+	pb_fill_reports(
+	    f->gw, f->reported_us, true, reports, &q.reports.reports_len);
+	f->reported_us = f->sent_us;
 	xdrmem_create(&xdr, body, sizeof(body), XDR_ENCODE);
 	if (xdr_change_question(&xdr, &q))
 		n = xdr_getpos(&xdr);
@@ -343,6 +357,7 @@
 	f->peer = pb_keep_instance(peer);
 	f->epoch = 0;
 	f->since = 0;
+	f->reports_since = 0;
 	ask_peer(f);
 }
 
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -95,19 +95,19 @@
 	PB_LINK_PROTOCOL /* the answer is not HTTP */
 };
 
-struct pb_call;
+struct pb_link_call;
 
-struct pb_call_ops {
-	void (*head)(struct pb_call *call);
-	void (*body)(struct pb_call *call, struct pb_str part);
+struct pb_link_call_ops {
+	void (*head)(struct pb_link_call *call);
+	void (*body)(struct pb_link_call *call, struct pb_str part);
 	/* The call has no link any more in the last two. */
-	void (*done)(struct pb_call *call);
-	void (*failed)(struct pb_call *call, enum pb_link_failure failure);
+	void (*done)(struct pb_link_call *call);
+	void (*failed)(struct pb_link_call *call, enum pb_link_failure failure);
 };
 
 /* One request on a link; first member of what makes it. */
-struct pb_call {
-	const struct pb_call_ops *ops;
+struct pb_link_call {
+	const struct pb_link_call_ops *ops;
 	struct pb_link *link; /* NULL: no request in progress */
 };
 
@@ -115,7 +115,7 @@
 	struct pb_gateway *gw;
 	struct bufferevent *bev;
 	struct pb_http_reader reader;
-	struct pb_call *call;
+	struct pb_link_call *call;
 	struct pb_instance *instance; /* counted */
 	struct pb_link *next_idle;
 	int64_t idle_us; /* when it became idle */
@@ -138,12 +138,12 @@
 void pb_drop_idle_links(struct pb_instance *instance);
 void pb_expire_idle_links(struct pb_gateway *gw, struct pb_instance *instance);
 /* Sends a whole request; the link serves one call at a time. */
-int pb_send_call(struct pb_link *link, struct pb_call *call, struct pb_str head,
+int pb_send_call(struct pb_link *link, struct pb_link_call *call, struct pb_str head,
     struct pb_str body);
 /* Ends the call and closes its connection. */
-void pb_cancel_call(struct pb_call *call);
+void pb_cancel_call(struct pb_link_call *call);
 /* Called in head: the answer is not this call's; waits for the next one. */
-void pb_skip_answer(struct pb_call *call);
+void pb_skip_answer(struct pb_link_call *call);
 
 /* gateway-front.c: a connection from a caller. */
 
@@ -268,6 +268,12 @@
 #define PB_CHANGES_PATH "/changes"
 #define PB_ROUTING_PATH "/routing"
 extern const struct pb_front_ops pb_peer_ops;
+/* Reports of load for another router, and from one. */
+struct load_report;
+void pb_fill_reports(struct pb_gateway *gw, int64_t since_us, bool own,
+    struct load_report *reports, unsigned int *count);
+void pb_apply_reports(struct pb_gateway *gw, const struct load_report *reports,
+    unsigned int count);
 /* Answers held questions that have an answer now or were held for long. */
 void pb_answer_held(struct pb_gateway *gw);
 
@@ -276,7 +282,7 @@
 #define PB_TRIED_MAX 8
 
 struct pb_exchange {
-	struct pb_call call;
+	struct pb_link_call call;
 	struct pb_gateway *gw;
 	struct pb_front *front; /* NULL: the caller has left */
 	struct pb_arena *arena;
@@ -300,6 +306,7 @@
 	struct pb_instance *tried[PB_TRIED_MAX]; /* counted */
 	size_t tried_count;
 	int attempts; /* that an upstream may have run */
+	bool on_kept_link; /* the attempt in progress uses an idle connection */
 	bool may_have_run;
 	bool repeatable; /* may run more than once */
 	/* The answer. */
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -52,7 +52,7 @@
 static void
 fail_link(struct pb_link *link, enum pb_link_failure failure)
 {
-	struct pb_call *call = link->call;
+	struct pb_link_call *call = link->call;
 
 	link->call = NULL;
 	if (call != NULL)
@@ -177,7 +177,7 @@
 static void
 complete_link(struct pb_link *link)
 {
-	struct pb_call *call = link->call;
+	struct pb_link_call *call = link->call;
 
 	link->call = NULL;
 	call->link = NULL;
@@ -323,8 +323,8 @@
 }
 
 int
-pb_send_call(struct pb_link *link, struct pb_call *call, struct pb_str head,
-    struct pb_str body)
+pb_send_call(struct pb_link *link, struct pb_link_call *call,
+    struct pb_str head, struct pb_str body)
 {
 	link->call = call;
 	call->link = link;
@@ -336,7 +336,7 @@
 }
 
 void
-pb_cancel_call(struct pb_call *call)
+pb_cancel_call(struct pb_link_call *call)
 {
 	struct pb_link *link = call->link;
 
@@ -348,7 +348,7 @@
 }
 
 void
-pb_skip_answer(struct pb_call *call)
+pb_skip_answer(struct pb_link_call *call)
 {
 	call->link->skipping = true;
 	call->link->tainted = true;
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -7,6 +7,41 @@
 /* A question waits this long for a change. */
 #define HOLD_US (500 * PB_MSEC)
 
+void
+pb_fill_reports(struct pb_gateway *gw, int64_t since_us, bool own,
+    struct load_report *reports, u_int *count)
+{
+	const struct pb_instance *instances[LOAD_REPORTS_MAX];
+	size_t i,
+	    n = pb_read_reports(
+		gw->registry, since_us, own, instances, LOAD_REPORTS_MAX);
+
+	for (i = 0; i < n; i++) {
+		reports[i].id = (char *)instances[i]->id;
+		reports[i].requests = instances[i]->reported;
+		reports[i].age = pb_now(gw->ctx) - instances[i]->reported_us;
+	}
+	*count = (u_int)n;
+}
+
+void
+pb_apply_reports(
+    struct pb_gateway *gw, const struct load_report *reports, u_int count)
+{
+	int64_t now = pb_now(gw->ctx);
+	u_int i;
+
+	for (i = 0; i < count; i++)
+		pb_note_shared_load(gw->registry, pb_str_from(reports[i].id),
+		    reports[i].requests, now - reports[i].age);
+}
+
+static void
+free_question(struct change_question *q)
+{
+	xdr_free((xdrproc_t)xdr_change_question, (char *)q);
+}
+
 static bool
 decode_question(struct pb_front *front, struct change_question *q)
 {
@@ -20,6 +55,8 @@
 	    &xdr, front->body.data, (u_int)front->body.len, XDR_DECODE);
 	ok = xdr_change_question(&xdr, q);
 	xdr_destroy(&xdr);
+	if (!ok)
+		free_question(q);
 	return ok;
 }
 
@@ -65,6 +102,7 @@
 {
 	struct pb_gateway *gw = front->gw;
 	struct change_answer answer = {0};
+	struct load_report reports[LOAD_REPORTS_MAX];
 	struct pb_change *changes;
 	size_t i, n;
 	int rc;
@@ -75,6 +113,10 @@
 	answer.routing_row = gw->routing_row;
 	answer.routing_age = front->held_us - gw->routing_fresh_us;
 	answer.instances_age = front->held_us - gw->instances_fresh_us;
+	answer.clock = pb_now(gw->ctx);
+	answer.reports.reports_val = reports;
+	pb_fill_reports(
+	    gw, q->reports_since, false, reports, &answer.reports.reports_len);
 	n = pb_read_changes(gw->registry, q->since, answer.full, NULL, 0);
 	changes = calloc(n + 1, sizeof(*changes));
 	answer.entries.entries_val =
@@ -140,8 +182,8 @@
 	struct pb_gateway *gw = front->gw;
 	char tag[48];
 
-	snprintf(tag, sizeof(tag), "ETag: %lld\r\n",
-	    (long long)gw->routing_row);
+	snprintf(
+	    tag, sizeof(tag), "ETag: %lld\r\n", (long long)gw->routing_row);
 	pb_reply_front(front, 200, pb_str_from(tag),
 	    (struct pb_str){gw->routing_text.data, gw->routing_text.len});
 }
@@ -166,8 +208,10 @@
 		return;
 	}
 	front->held_us = pb_now(gw->ctx);
+	pb_apply_reports(gw, q.reports.reports_val, q.reports.reports_len);
 	if (has_news(gw, &q))
 		answer_question(front, &q);
+	free_question(&q);
 }
 
 const struct pb_front_ops pb_peer_ops = {on_question};
@@ -187,5 +231,6 @@
 			refuse_question(front);
 		else if (now - front->held_us >= HOLD_US || has_news(gw, &q))
 			answer_question(front, &q);
+		free_question(&q);
 	}
 }
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -281,7 +281,7 @@
 		return;
 	}
 	if (gw->routing->keys_required && req.has_key)
-		account = pb_find_account(gw->routing, req.key);
+		account = pb_find_key_holder(gw->routing, req.key);
 	if (gw->routing->keys_required && !route->public_access) {
 		if (!keys_are_current(gw)) {
 			reject(front, &req, 503, "keys cannot be confirmed");
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -32,12 +32,11 @@
 put_routing_in_force(struct pb_gateway *gw, struct pb_routing *routing)
 {
 	pb_log(gw->ctx, PB_INFO, "configuration", NULL, NULL,
-	    "version %lld in force, before %lld: %zu routes, %zu services, "
-	    "%zu accounts, %zu keys",
+	    "version %lld in force, before %lld: %zu routes, %zu accounts, "
+	    "%zu keys",
 	    (long long)routing->version,
 	    gw->routing != NULL ? (long long)gw->routing->version : -1,
-	    routing->route_count, routing->service_count,
-	    routing->account_count, routing->key_count);
+	    routing->route_count, routing->account_count, routing->key_count);
 	pb_drop_routing(gw->ctx, gw->routing);
 	gw->routing = routing;
 	gw->routing_us = pb_now(gw->ctx);
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -14,7 +14,7 @@
 #define LIST_MIN_US (500 * PB_MSEC)
 
 struct pb_watch {
-	struct pb_call call;
+	struct pb_link_call call;
 	struct pb_gateway *gw;
 	const struct pb_watch_ops *ops;
 	struct event *timer;
@@ -152,7 +152,7 @@
 }
 
 static void
-on_head(struct pb_call *call)
+on_head(struct pb_link_call *call)
 {
 	struct pb_watch *w = (struct pb_watch *)call;
 
@@ -160,7 +160,7 @@
 }
 
 static void
-on_body(struct pb_call *call, struct pb_str part)
+on_body(struct pb_link_call *call, struct pb_str part)
 {
 	struct pb_watch *w = (struct pb_watch *)call;
 
@@ -169,7 +169,7 @@
 }
 
 static void
-on_done(struct pb_call *call)
+on_done(struct pb_link_call *call)
 {
 	struct pb_watch *w = (struct pb_watch *)call;
 	struct pb_context *ctx = w->gw->ctx;
@@ -205,7 +205,7 @@
 }
 
 static void
-on_failed(struct pb_call *call, enum pb_link_failure failure)
+on_failed(struct pb_link_call *call, enum pb_link_failure failure)
 {
 	struct pb_watch *w = (struct pb_watch *)call;
 
@@ -216,7 +216,7 @@
 					   : "connection broken");
 }
 
-static const struct pb_call_ops call_ops = {
+static const struct pb_link_call_ops call_ops = {
     on_head, on_body, on_done, on_failed};
 
 static void
--- a/source/registry/registry-load.c
+++ b/source/registry/registry-load.c
@@ -1,6 +1,8 @@
 #include "registry-internal.h"
 
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
 /* Counts of outcomes lose half of their weight in this time. */
 #define OUTCOME_HALF_LIFE_US (2 * PB_SEC)
@@ -25,6 +27,58 @@
 	instance->reported = requests;
 	instance->reported_own = instance->in_flight;
 	instance->reported_us = pb_now(ctx);
+	instance->report_shared = false;
+}
+
+void
+pb_note_shared_load(struct pb_registry *registry, struct pb_str id,
+    int requests, int64_t reported_us)
+{
+	struct pb_instance *inst = pb_find_instance(registry, id);
+
+	if (inst == NULL || reported_us <= inst->reported_us)
+		return;
+	inst->reported = requests;
+	inst->reported_own = inst->in_flight;
+	inst->reported_us = reported_us;
+	inst->report_shared = true;
+}
+
+static int
+compare_reports(const void *a, const void *b)
+{
+	const struct pb_instance *x = *(const struct pb_instance *const *)a;
+	const struct pb_instance *y = *(const struct pb_instance *const *)b;
+
+	return x->reported_us < y->reported_us
+	    ? 1
+	    : -(x->reported_us > y->reported_us);
+}
+
+size_t
+pb_read_reports(const struct pb_registry *registry, int64_t since_us, bool own,
+    const struct pb_instance **instances, size_t cap)
+{
+	const struct pb_instance **all =
+	    calloc(registry->count + 1, sizeof(struct pb_instance *));
+	size_t i, n = 0;
+
+	if (all == NULL)
+		return 0;
+	for (i = 0; i < registry->count; i++) {
+		const struct pb_instance *inst = registry->instances[i];
+
+		if (inst->reported_us > since_us &&
+		    !(own && inst->report_shared))
+			all[n++] = inst;
+	}
+	qsort(all, n, sizeof(struct pb_instance *), compare_reports);
+	if (n > cap)
+		n = cap;
+	if (n > 0)
+		memcpy(instances, all, n * sizeof(struct pb_instance *));
+	free(all);
+	return n;
 }
 
 double
--- a/source/routing/routing-config.c
+++ b/source/routing/routing-config.c
@@ -135,7 +135,7 @@
 }
 
 const struct pb_account *
-pb_find_account(const struct pb_routing *routing, struct pb_str key)
+pb_find_key_holder(const struct pb_routing *routing, struct pb_str key)
 {
 	struct pb_account_key probe = {key, 0};
 	const struct pb_account_key *k;
@@ -147,18 +147,6 @@
 	return k != NULL ? &routing->accounts[k->account] : NULL;
 }
 
-const struct pb_service *
-pb_find_service(const struct pb_routing *routing, struct pb_str name)
-{
-	size_t i;
-
-	for (i = 0; i < routing->service_count; i++) {
-		if (pb_str_equal(routing->services[i].name, name))
-			return &routing->services[i];
-	}
-	return NULL;
-}
-
 const struct pb_backend *
 pb_draw_backend(const struct pb_route *route, double draw)
 {
--- a/tests/test-routing.c
+++ b/tests/test-routing.c
@@ -71,15 +71,15 @@
 
 	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
 	CU_ASSERT(r->keys_required);
-	a = pb_find_account(r, pb_str_from("k2"));
+	a = pb_find_key_holder(r, pb_str_from("k2"));
 	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
 	CU_ASSERT(pb_str_equal_c(a->name, "t1"));
 	CU_ASSERT_EQUAL(a->priority, 1);
-	a = pb_find_account(r, pb_str_from("k3"));
+	a = pb_find_key_holder(r, pb_str_from("k3"));
 	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
 	CU_ASSERT_EQUAL(a->priority, PB_NO_PRIORITY);
-	CU_ASSERT_PTR_NULL(pb_find_account(r, pb_str_from("k")));
-	CU_ASSERT_PTR_NULL(pb_find_account(r, pb_str_from("k11")));
+	CU_ASSERT_PTR_NULL(pb_find_key_holder(r, pb_str_from("k")));
+	CU_ASSERT_PTR_NULL(pb_find_key_holder(r, pb_str_from("k11")));
 	pb_drop_routing(ctx, r);
 }
 
