--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -3,9 +3,9 @@
 #include <float.h>
 
 /* A prefix goes to its preferred instance up to this multiple of the mean. */
-#define AFFINITY_FACTOR 1.3
+#define AFFINITY_FACTOR 1.6
 /* Requests above the multiple that never count as imbalance. */
-#define AFFINITY_FLOOR 2.0
+#define AFFINITY_FLOOR 3.0
 /* Load, in requests, that a hop to another failure domain is worth. */
 #define DOMAIN_PENALTY 1.5
 /* What others sent is taken as finished when a report is this old. */
