--- a/source/cli/cli-trace.c
+++ b/source/cli/cli-trace.c
@@ -177,8 +177,9 @@
 		    peer, l->own ? "" : "(router) ",
 		    pb_json_text(l->json, "text"));
 	}
-	fprintf(cli->out, "request %s ended: %s\n", request,
-	    pb_json_text(end->json, "text"));
+	if (end != NULL)
+		fprintf(cli->out, "request %s ended: %s\n", request,
+		    pb_json_text(end->json, "text"));
 }
 
 int
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -250,8 +250,7 @@
 	    x->instance != NULL ? x->instance->id : NULL, id,
 	    "%s after %lld ms; attempt %d of %d on a %s connection, "
 	    "status %d, ran: %s",
-	    why,
-	    (long long)((pb_now(x->gw->ctx) - x->attempt_us) / PB_MSEC),
+	    why, (long long)((pb_now(x->gw->ctx) - x->attempt_us) / PB_MSEC),
 	    x->attempts, x->route->max_attempts,
 	    x->on_kept_link ? "kept" : "new", x->status,
 	    x->facts.not_run ? "no" : "unknown");
--- a/source/gateway/gateway-events.c
+++ b/source/gateway/gateway-events.c
@@ -6,7 +6,7 @@
 static size_t
 find_event_end(const char *data, size_t start, size_t len)
 {
-	const char *p = data + start;
+	const char *p;
 
 	while (start + 1 < len &&
 	    (p = memchr(data + start, '\n', len - start - 1)) != NULL) {
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -138,8 +138,8 @@
 void pb_drop_idle_links(struct pb_instance *instance);
 void pb_expire_idle_links(struct pb_gateway *gw, struct pb_instance *instance);
 /* Sends a whole request; the link serves one call at a time. */
-int pb_send_call(struct pb_link *link, struct pb_link_call *call, struct pb_str head,
-    struct pb_str body);
+int pb_send_call(struct pb_link *link, struct pb_link_call *call,
+    struct pb_str head, struct pb_str body);
 /* Ends the call and closes its connection. */
 void pb_cancel_call(struct pb_link_call *call);
 /* Called in head: the answer is not this call's; waits for the next one. */
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -409,6 +409,7 @@
 
 	if (argc != 3 || b == NULL) {
 		fprintf(stderr, "usage: pb-backend PORT ID\n");
+		free(b);
 		return 2;
 	}
 	b->base = event_base_new();
@@ -420,6 +421,7 @@
 	    (struct sockaddr *)&addr, sizeof(addr));
 	if (listener == NULL) {
 		fprintf(stderr, "pb-backend: port %s is taken\n", argv[1]);
+		free(b);
 		return 1;
 	}
 	event_base_dispatch(b->base);
--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -471,12 +471,15 @@
 
 	if (argc < 2 || argc > 3 || s == NULL) {
 		fprintf(stderr, "usage: pb-rows PORT [SECOND-PORT]\n");
+		free(s);
 		return 2;
 	}
 	s->base = event_base_new();
 	if (listen_at(s, argv[1], on_request) == NULL ||
-	    (argc == 3 && listen_at(s, argv[2], on_second_request) == NULL))
+	    (argc == 3 && listen_at(s, argv[2], on_second_request) == NULL)) {
+		free(s);
 		return 1;
+	}
 	event_base_dispatch(s->base);
 	return 0;
 }
--- a/tests/test-routing.c
+++ b/tests/test-routing.c
@@ -50,7 +50,9 @@
 {
 	struct pb_routing *r = read_config(config);
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT_PTR_NOT_NULL(r);
+	if (r == NULL)
+		return;
 	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/x/z"), "r1");
 	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/x/y/z"), "r2");
 	CU_ASSERT_STRING_EQUAL(route_name(r, "a.example", "/x/y"), "r1");
@@ -69,14 +71,20 @@
 	struct pb_routing *r = read_config(config);
 	const struct pb_account *a;
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT_PTR_NOT_NULL(r);
+	if (r == NULL)
+		return;
 	CU_ASSERT(r->keys_required);
 	a = pb_find_key_holder(r, pb_str_from("k2"));
-	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	CU_ASSERT_PTR_NOT_NULL(a);
+	if (a == NULL)
+		return;
 	CU_ASSERT(pb_str_equal_c(a->name, "t1"));
 	CU_ASSERT_EQUAL(a->priority, 1);
 	a = pb_find_key_holder(r, pb_str_from("k3"));
-	CU_ASSERT_PTR_NOT_NULL_FATAL(a);
+	CU_ASSERT_PTR_NOT_NULL(a);
+	if (a == NULL)
+		return;
 	CU_ASSERT_EQUAL(a->priority, PB_NO_PRIORITY);
 	CU_ASSERT_PTR_NULL(pb_find_key_holder(r, pb_str_from("k")));
 	CU_ASSERT_PTR_NULL(pb_find_key_holder(r, pb_str_from("k11")));
@@ -91,15 +99,21 @@
 	const struct pb_route *route;
 	int i, second = 0;
 
-	CU_ASSERT_PTR_NOT_NULL_FATAL(r);
+	CU_ASSERT_PTR_NOT_NULL(r);
+	if (r == NULL)
+		return;
 	route =
 	    pb_find_route(r, pb_str_from("a.example"), pb_str_from("/x/y/"));
-	CU_ASSERT_PTR_NOT_NULL_FATAL(route);
+	CU_ASSERT_PTR_NOT_NULL(route);
+	if (route == NULL)
+		return;
 	for (i = 0; i < 1000; i++) {
 		const struct pb_backend *b =
 		    pb_draw_backend(route, (i + 0.5) / 1000);
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(b);
+		CU_ASSERT_PTR_NOT_NULL(b);
+		if (b == NULL)
+			return;
 		second += pb_str_equal_c(b->service, "s2");
 	}
 	CU_ASSERT_EQUAL(second, 100);
