--- a/include/poplarbeam/gateway.h
+++ b/include/poplarbeam/gateway.h
@@ -20,8 +20,6 @@
 	char store[48]; /* address of the platform's store */
 	char log_level[12];
 	long log_lines_per_s;
-	long contact_ms;
-	long drain_ms;
 	long stop_ms; /* from SIGTERM until the platform kills */
 	long revoke_ms; /* a key is out of use this long after its removal */
 	long strict_revoke; /* 1: refuse when that cannot be kept */
--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -117,8 +117,11 @@
 /* The instance's own count of running and waiting requests. */
 void pb_note_load(
     struct pb_context *ctx, struct pb_instance *instance, int requests);
-/* The same, seen by another router at that moment. */
-void pb_note_shared_load(struct pb_registry *registry, struct pb_str id,
+/*
+ * The same, seen by another router at that moment. id_hash: the low bits of
+ * the instance's hash; two instances with the same bits share their reports.
+ */
+void pb_note_shared_load(struct pb_registry *registry, uint32_t id_hash,
     int requests, int64_t reported_us);
 /*
  * Stores up to cap instances with a report later than since, the newest ones
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -32,9 +32,9 @@
 typedef struct change_entry change_entry;
 
 struct load_report {
-	change_text id;
-	int requests;
-	quad_t age;
+	u_int id_hash;
+	u_int requests;
+	u_int age_ms;
 };
 typedef struct load_report load_report;
 
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -5,7 +5,7 @@
  */
 
 const CHANGE_TEXT_MAX = 64;	/* bytes */
-const LOAD_REPORTS_MAX = 64;	/* of one message: about 2 KB */
+const LOAD_REPORTS_MAX = 64;	/* of one message: 768 bytes */
 
 typedef string change_text<CHANGE_TEXT_MAX>;
 
@@ -23,9 +23,9 @@
 
 /* What an instance said of its load in an answer. */
 struct load_report {
-	change_text id;
-	int requests;		/* running and waiting */
-	hyper age;		/* microseconds */
+	unsigned int id_hash;	/* low bits of the hash of its id */
+	unsigned int requests;	/* running and waiting */
+	unsigned int age_ms;	/* milliseconds */
 };
 
 /* What has changed since? */
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -6,111 +6,108 @@
 #include "changes.h"
 
 bool_t
-xdr_change_text(XDR *xdrs, change_text *objp)
+xdr_change_text (XDR *xdrs, change_text *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_string(xdrs, objp, CHANGE_TEXT_MAX))
-		return FALSE;
+	 if (!xdr_string (xdrs, objp, CHANGE_TEXT_MAX))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_change_entry(XDR *xdrs, change_entry *objp)
+xdr_change_entry (XDR *xdrs, change_entry *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_change_text(xdrs, &objp->id))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->gone))
-		return FALSE;
-	if (!xdr_change_text(xdrs, &objp->service))
-		return FALSE;
-	if (!xdr_change_text(xdrs, &objp->address))
-		return FALSE;
-	if (!xdr_change_text(xdrs, &objp->domain))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->slots))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->draining))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->started_ms))
-		return FALSE;
+	 if (!xdr_change_text (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_change_text (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_change_text (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_change_text (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_load_report(XDR *xdrs, load_report *objp)
+xdr_load_report (XDR *xdrs, load_report *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_change_text(xdrs, &objp->id))
-		return FALSE;
-	if (!xdr_int(xdrs, &objp->requests))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->age))
-		return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->id_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_change_question(XDR *xdrs, change_question *objp)
+xdr_change_question (XDR *xdrs, change_question *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->epoch))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->since))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->routing_row))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->reports_since))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->reports.reports_val,
-		(u_int *)&objp->reports.reports_len, LOAD_REPORTS_MAX,
-		sizeof(load_report), (xdrproc_t)xdr_load_report))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routing_row))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->reports_since))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, LOAD_REPORTS_MAX,
+		sizeof (load_report), (xdrproc_t) xdr_load_report))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_change_answer(XDR *xdrs, change_answer *objp)
+xdr_change_answer (XDR *xdrs, change_answer *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_u_quad_t(xdrs, &objp->epoch))
-		return FALSE;
-	if (!xdr_u_quad_t(xdrs, &objp->sequence))
-		return FALSE;
-	if (!xdr_bool(xdrs, &objp->full))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->routing_row))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->routing_age))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->instances_age))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->entries.entries_val,
-		(u_int *)&objp->entries.entries_len, ~0, sizeof(change_entry),
-		(xdrproc_t)xdr_change_entry))
-		return FALSE;
-	if (!xdr_quad_t(xdrs, &objp->clock))
-		return FALSE;
-	if (!xdr_array(xdrs, (char **)&objp->reports.reports_val,
-		(u_int *)&objp->reports.reports_len, LOAD_REPORTS_MAX,
-		sizeof(load_report), (xdrproc_t)xdr_load_report))
-		return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routing_row))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routing_age))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->instances_age))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
+		sizeof (change_entry), (xdrproc_t) xdr_change_entry))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, LOAD_REPORTS_MAX,
+		sizeof (load_report), (xdrproc_t) xdr_load_report))
+		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_router_row(XDR *xdrs, router_row *objp)
+xdr_router_row (XDR *xdrs, router_row *objp)
 {
 	register int32_t *buf;
 
-	if (!xdr_change_text(xdrs, &objp->domain))
-		return FALSE;
-	if (!xdr_change_text(xdrs, &objp->address))
-		return FALSE;
+	 if (!xdr_change_text (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_change_text (xdrs, &objp->address))
+		 return FALSE;
 	return TRUE;
 }
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -18,7 +18,7 @@
 #define ASK_PAUSE_US (50 * PB_MSEC)
 #define NO_PEER_RETRY_US (2 * PB_SEC)
 /* Bytes of one question with all its reports. */
-#define QUESTION_MAX (LOAD_REPORTS_MAX * (CHANGE_TEXT_MAX + 24) + 128)
+#define QUESTION_MAX (LOAD_REPORTS_MAX * 12 + 64)
 /* A router that does not answer is left alone for this long. */
 #define AVOID_US (5 * PB_SEC)
 /* A router that has not heard from the store for longer is of no use. */
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -17,9 +17,12 @@
 		gw->registry, since_us, own, instances, LOAD_REPORTS_MAX);
 
 	for (i = 0; i < n; i++) {
-		reports[i].id = (char *)instances[i]->id;
-		reports[i].requests = instances[i]->reported;
-		reports[i].age = pb_now(gw->ctx) - instances[i]->reported_us;
+		const struct pb_instance *inst = instances[i];
+		int64_t age = pb_now(gw->ctx) - inst->reported_us;
+
+		reports[i].id_hash = (uint32_t)inst->hash;
+		reports[i].requests = (u_int)inst->reported;
+		reports[i].age_ms = (u_int)(age / PB_MSEC);
 	}
 	*count = (u_int)n;
 }
@@ -32,8 +35,9 @@
 	u_int i;
 
 	for (i = 0; i < count; i++)
-		pb_note_shared_load(gw->registry, pb_str_from(reports[i].id),
-		    reports[i].requests, now - reports[i].age);
+		pb_note_shared_load(gw->registry, reports[i].id_hash,
+		    (int)reports[i].requests,
+		    now - reports[i].age_ms * PB_MSEC);
 }
 
 static void
--- a/source/gateway/gateway-settings.c
+++ b/source/gateway/gateway-settings.c
@@ -27,8 +27,6 @@
     TEXT("store", store, NULL),
     TEXT("log_level", log_level, "info"),
     NUMBER("log_lines_per_s", log_lines_per_s, "200", 1, 100000),
-    NUMBER("contact_ms", contact_ms, "3000", 1, HOUR_MS),
-    NUMBER("drain_ms", drain_ms, "2000", 1, HOUR_MS),
     NUMBER("stop_ms", stop_ms, "8000", 1000, HOUR_MS),
     NUMBER("revoke_ms", revoke_ms, "5000", 1, HOUR_MS),
     NUMBER("strict_revoke", strict_revoke, "1", 0, 1),
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -12,6 +12,13 @@
 #define RETRY_MAX_US (600 * PB_MSEC)
 /* Shortest time between a question and a listing that is asked for. */
 #define LIST_MIN_US (500 * PB_MSEC)
+/*
+ * Large answers may take a quarter of the time, so that they leave most of a
+ * small machine's link to callers; what is new must still be known in time.
+ */
+#define LARGE_ANSWER 32768 /* bytes */
+#define LARGE_PAUSE_FACTOR 4
+#define LARGE_PAUSE_MAX_US (1200 * PB_MSEC)
 
 struct pb_watch {
 	struct pb_link_call call;
@@ -25,6 +32,7 @@
 	int64_t listed_us; /* start of the last complete listing */
 	int64_t lost_us; /* since when the store is away; 0: it answers */
 	int64_t retry_us; /* pause after the next failure */
+	int64_t pause_us; /* from the last question to the next one, at least */
 	char after[256]; /* key after which the listing goes on */
 	bool listing; /* the call in progress lists */
 	bool must_list;
@@ -151,6 +159,21 @@
 	return rc;
 }
 
+/* Sets the pause after an answer by its size and the time that it took. */
+static void
+set_pause(struct pb_watch *w)
+{
+	int64_t pause = (pb_now(w->gw->ctx) - w->sent_us) * LARGE_PAUSE_FACTOR;
+
+	w->pause_us = w->ops->period_us;
+	if (w->answer.len < LARGE_ANSWER || !w->listing)
+		return;
+	if (pause > LARGE_PAUSE_MAX_US)
+		pause = LARGE_PAUSE_MAX_US;
+	if (pause > w->pause_us)
+		w->pause_us = pause;
+}
+
 static void
 on_head(struct pb_link_call *call)
 {
@@ -197,7 +220,8 @@
 		note_lost(w, "unreadable answer");
 		return;
 	}
-	next = w->sent_us + w->ops->period_us - pb_now(ctx);
+	set_pause(w);
+	next = w->sent_us + w->pause_us - pb_now(ctx);
 	if (next <= 0 || w->after[0] != '\0')
 		ask(w);
 	else
@@ -319,7 +343,8 @@
 		return;
 	list_anew(watch);
 	if (watch->call.link == NULL &&
-	    pb_now(watch->gw->ctx) - watch->sent_us >= LIST_MIN_US)
+	    pb_now(watch->gw->ctx) - watch->sent_us >=
+		(watch->pause_us > LIST_MIN_US ? watch->pause_us : LIST_MIN_US))
 		send_question(watch);
 }
 
--- a/source/registry/registry-load.c
+++ b/source/registry/registry-load.c
@@ -30,13 +30,10 @@
 	instance->report_shared = false;
 }
 
-void
-pb_note_shared_load(struct pb_registry *registry, struct pb_str id,
-    int requests, int64_t reported_us)
+static void
+note_shared(struct pb_instance *inst, int requests, int64_t reported_us)
 {
-	struct pb_instance *inst = pb_find_instance(registry, id);
-
-	if (inst == NULL || reported_us <= inst->reported_us)
+	if (reported_us <= inst->reported_us)
 		return;
 	inst->reported = requests;
 	inst->reported_own = inst->in_flight;
@@ -44,6 +41,19 @@
 	inst->report_shared = true;
 }
 
+void
+pb_note_shared_load(struct pb_registry *registry, uint32_t id_hash,
+    int requests, int64_t reported_us)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		if ((uint32_t)registry->instances[i]->hash == id_hash)
+			note_shared(
+			    registry->instances[i], requests, reported_us);
+	}
+}
+
 static int
 compare_reports(const void *a, const void *b)
 {
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -17,8 +17,9 @@
  *   unsealed  answers 200 without a digest
  *   stream    ten events, one each WORK ms
  *   torn      the same, cut in the middle of event five unless it resumes
- * "GET /runs/REQUEST-ID" tells how often a request was run, "GET /cancelled"
- * how many were left before they ended.
+ * "GET /runs/REQUEST-ID" tells how often a request was run, "GET /all-runs"
+ * lists id, count and the time of the last run in Unix milliseconds, and "GET
+ * /cancelled" tells how many were left before they ended.
  */
 #include "poplarbeam/http.h"
 
@@ -29,6 +30,7 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define RUNS_MAX 4096
 #define EVENTS 10
@@ -37,6 +39,7 @@
 struct run {
 	char id[64];
 	int count;
+	long long last_ms;
 };
 
 struct backend {
@@ -85,21 +88,32 @@
 	snprintf(out, cap, "%.*s", (int)v.len, v.len > 0 ? v.data : "");
 }
 
-static int
+static long long
+wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return (long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+static void
 note_run(struct backend *b, const char *id)
 {
 	size_t i;
 
 	for (i = 0; i < b->run_count; i++) {
 		if (strcmp(b->runs[i].id, id) == 0)
-			return ++b->runs[i].count;
+			break;
+	}
+	if (i == RUNS_MAX)
+		return;
+	if (i == b->run_count) {
+		pb_copy_str(b->runs[i].id, sizeof(b->runs[i].id), id);
+		b->run_count++;
 	}
-	if (b->run_count == RUNS_MAX)
-		return 0;
-	pb_copy_str(b->runs[b->run_count].id, sizeof(b->runs[0].id), id);
-	b->runs[b->run_count].count = 1;
-	b->run_count++;
-	return 1;
+	b->runs[i].count++;
+	b->runs[i].last_ms = wall_ms();
 }
 
 static int
@@ -266,23 +280,36 @@
 		finish(c);
 }
 
+static void
+append_runs(const struct backend *b, struct pb_buf *text)
+{
+	size_t i;
+
+	for (i = 0; i < b->run_count; i++)
+		pb_append_fmt(text, "%s %d %lld\n", b->runs[i].id,
+		    b->runs[i].count, b->runs[i].last_ms);
+}
+
 /* Questions of a test. */
 static bool
 serve_question(struct conn *c, const char *target)
 {
 	struct evbuffer *out = bufferevent_get_output(c->bev);
-	char text[32];
+	struct pb_buf text = {0};
 
 	if (strncmp(target, "/runs/", 6) == 0)
-		snprintf(text, sizeof(text), "%d\n",
-		    count_runs(c->backend, target + 6));
+		pb_append_fmt(
+		    &text, "%d\n", count_runs(c->backend, target + 6));
+	else if (strcmp(target, "/all-runs") == 0)
+		append_runs(c->backend, &text);
 	else if (strcmp(target, "/cancelled") == 0)
-		snprintf(text, sizeof(text), "%d\n", c->backend->cancelled);
+		pb_append_fmt(&text, "%d\n", c->backend->cancelled);
 	else
 		return false;
 	evbuffer_add_printf(out,
-	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(text),
-	    text);
+	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", text.len,
+	    text.len > 0 ? text.data : "");
+	pb_clear_buf(&text);
 	next_request(c);
 	return true;
 }
--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -10,6 +10,8 @@
 account_key=key-of-a
 
 backend_port() { echo $((FLEET_PORT + 10 + $1)); }
+# Where gateways find backend N; scripts put a proxy in between.
+announced_port() { backend_port "$1"; }
 gateway_port() { echo $((FLEET_PORT + 100 + 10 * $1)); }
 ready_port() { echo $((FLEET_PORT + 101 + 10 * $1)); }
 metrics_port() { echo $((FLEET_PORT + 102 + 10 * $1)); }
@@ -34,7 +36,7 @@
 # announce_backend N SERVICE [STATE] [SEQUENCE]
 announce_backend() {
 	printf '{"service":"%s","address":"127.0.0.1:%s","zone":"a",' "$2" \
-	    "$(backend_port "$1")" >"$FLEET_DIR/entry"
+	    "$(announced_port "$1")" >"$FLEET_DIR/entry"
 	printf '"version":"v1","slots":8,"state":"%s","cold-left-ms":0,' \
 	    "${3:-ready}" >>"$FLEET_DIR/entry"
 	printf '"sequence":%s,"born":1700000000000}' "${4:-1}" \
@@ -58,7 +60,7 @@
 	printf '"sticky":false,"resumable":%s}' "$5"
 }
 
-# apply_config VERSION [KEY]: the routes that the scripts use.
+# apply_config VERSION [KEY[","KEY]]: the routes that the scripts use.
 apply_config() {
 	{
 		printf '{"version":%s,"routes":[' "$1"
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -118,6 +118,30 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/* Guards against older reports of other routers that replace a newer one. */
+static void
+test_shared_load(void)
+{
+	struct pb_registry *reg = new_fleet(3);
+	struct pb_instance *a = pb_find_instance(reg, pb_str_from("i0"));
+	struct pb_instance *b = pb_find_instance(reg, pb_str_from("i1"));
+	const struct pb_instance *seen[4];
+	int64_t now = pb_now(ctx);
+
+	pb_note_load(ctx, a, 5);
+	pb_note_shared_load(reg, (uint32_t)a->hash, 9, now - PB_MSEC);
+	CU_ASSERT_EQUAL(a->reported, 5);
+	pb_note_shared_load(reg, (uint32_t)b->hash, 7, now - PB_MSEC);
+	CU_ASSERT_EQUAL(b->reported, 7);
+	/* Only the router that saw a report passes it on as its own. */
+	CU_ASSERT_EQUAL(pb_read_reports(reg, 0, true, seen, 4), 1);
+	CU_ASSERT_PTR_EQUAL(seen[0], a);
+	CU_ASSERT_EQUAL(pb_read_reports(reg, 0, false, seen, 4), 2);
+	CU_ASSERT_PTR_EQUAL(seen[0], a);
+	CU_ASSERT_EQUAL(pb_read_reports(reg, now - PB_MSEC, false, seen, 4), 1);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Guards against requests to an instance that fails most of them. */
 static void
 test_failing_instance(void)
@@ -278,6 +302,7 @@
 	static CU_TestInfo tests[] = {{"one home", test_one_home},
 	    {"hot prefix", test_hot_prefix},
 	    {"reported load", test_reported_load},
+	    {"shared load", test_shared_load},
 	    {"failing instance", test_failing_instance},
 	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
 	    {"restart", test_restart}, {"changes", test_changes},
