--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -29,6 +29,8 @@
 	int64_t time_left_ms;
 	int priority;
 	bool has_priority;
+	struct pb_str
+	    prefix_holder; /* address to read the prefix from, or empty */
 	bool resumes; /* goes on after last_event */
 	int64_t last_event;
 };
--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -37,6 +37,7 @@
 	bool gone; /* no longer listed */
 	bool listed; /* seen in the listing that is being read */
 	uint64_t sequence; /* of the registry at its last change */
+	int64_t joined_us; /* when this router first saw it */
 	int64_t lapse_us; /* when its removal takes effect; 0: not removed */
 	int64_t started_ms;
 	int in_flight; /* requests of this router */
@@ -152,6 +153,8 @@
 	double estimate; /* requests on the chosen instance */
 	int64_t report_age_us; /* of the chosen instance; -1: no report */
 	bool preferred; /* the first choice of the prefix */
+	/* Another instance that probably holds the prefix; NULL: none. */
+	const struct pb_instance *holder;
 };
 
 /* The instance for a request, not counted; NULL if none can take it. */
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -5,6 +5,9 @@
 /* An attempt with less time than this cannot end in time. */
 #define ATTEMPT_MIN_US (20 * PB_MSEC)
 
+/* A shorter prompt is read faster than it is fetched. */
+#define FETCH_TOKENS_MIN 512
+
 static const struct pb_link_call_ops call_ops;
 
 bool
@@ -18,7 +21,8 @@
 }
 
 static int
-append_request(struct pb_exchange *x, struct pb_buf *buf)
+append_request(
+    struct pb_exchange *x, const struct pb_instance *holder, struct pb_buf *buf)
 {
 	struct pb_dispatch_fields f = {0};
 	int rc = pb_append_buf(buf, x->head.data, x->head.len);
@@ -31,6 +35,8 @@
 	f.priority = x->route->priority;
 	if (x->account != NULL && x->account->priority != PB_NO_PRIORITY)
 		f.priority = x->account->priority;
+	if (holder != NULL && x->prompt_tokens >= FETCH_TOKENS_MIN)
+		f.prefix_holder = pb_str_from(holder->address);
 	f.resumes = x->has_last_event;
 	f.last_event = x->last_event;
 	if (rc == PB_OK)
@@ -43,14 +49,14 @@
 }
 
 static int
-send_request(struct pb_exchange *x)
+send_request(struct pb_exchange *x, const struct pb_instance *holder)
 {
 	struct pb_link *link = pb_take_link(x->gw, x->instance);
 	struct pb_buf buf = {0};
 	int rc = PB_EUNAVAIL;
 
 	if (link != NULL)
-		rc = append_request(x, &buf);
+		rc = append_request(x, holder, &buf);
 	if (link != NULL && rc != PB_OK)
 		pb_drop_link(link);
 	x->on_kept_link = link != NULL && link->reused;
@@ -120,7 +126,7 @@
 	x->attempt_us = pb_now(gw->ctx);
 	x->progress_us = x->attempt_us;
 	x->call.ops = &call_ops;
-	if (send_request(x) != PB_OK) {
+	if (send_request(x, facts.holder) != PB_OK) {
 		pb_cancel_call(&x->call);
 		pb_next_attempt(x);
 		return;
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -11,6 +11,8 @@
 /* What others sent is taken as finished when a report is this old. */
 #define REPORT_FRESH_US PB_SEC
 #define REPORT_FADE_US (4 * PB_SEC)
+/* An instance that joined this recently may hold no prefix yet. */
+#define JOINED_US (10 * PB_SEC)
 /* Share of failed requests above which an instance is avoided. */
 #define FAILURE_SHARE 0.35
 /* Decayed failures below which the share says too little. */
@@ -113,6 +115,12 @@
 	return s->reachable > 0 ? DEMAND_REACHABLE : DEMAND_ANY;
 }
 
+static uint64_t
+prefix_score(const struct pb_placement *p, const struct pb_instance *inst)
+{
+	return pb_hash_pair(p->affinity, inst->hash);
+}
+
 /* The preferred instance of a prefix among those that are below the bound. */
 static struct pb_instance *
 choose_by_prefix(const struct pb_registry *reg, const struct pb_placement *p,
@@ -131,7 +139,7 @@
 			continue;
 		if (estimate_load(inst, now) + 1 > bound)
 			continue;
-		score = pb_hash_pair(p->affinity, inst->hash);
+		score = prefix_score(p, inst);
 		if (best == NULL || score > best_score) {
 			best = inst;
 			best_score = score;
@@ -167,6 +175,36 @@
 	return best;
 }
 
+/*
+ * The instance that had the prefix before the chosen one: one that the prefix
+ * prefers to it, even if it is draining or full, or the next one in that order
+ * if the chosen one has just joined.
+ */
+static const struct pb_instance *
+find_holder(const struct pb_registry *reg, const struct pb_placement *p,
+    const struct pb_instance *chosen, int64_t now)
+{
+	bool joined = now - chosen->joined_us < JOINED_US;
+	const struct pb_instance *best = NULL;
+	size_t i;
+
+	for (i = 0; i < reg->count; i++) {
+		const struct pb_instance *inst = reg->instances[i];
+
+		if (inst == chosen || now < inst->avoid_until_us ||
+		    is_excluded(p, inst) ||
+		    !pb_str_equal_c(p->service, inst->service) ||
+		    now - inst->joined_us < JOINED_US)
+			continue;
+		if (!joined && prefix_score(p, inst) < prefix_score(p, chosen))
+			continue;
+		if (best == NULL ||
+		    prefix_score(p, inst) > prefix_score(p, best))
+			best = inst;
+	}
+	return best;
+}
+
 struct pb_instance *
 pb_choose_instance(struct pb_context *ctx, struct pb_registry *registry,
     const struct pb_placement *placement, struct pb_placement_facts *facts)
@@ -184,6 +222,9 @@
 	facts->preferred = inst != NULL;
 	if (inst == NULL)
 		inst = choose_by_load(registry, placement, demand, now);
+	facts->holder = inst != NULL && placement->affinity != 0
+	    ? find_holder(registry, placement, inst, now)
+	    : NULL;
 	facts->candidates = s.open;
 	facts->mean = mean;
 	facts->estimate = inst != NULL ? estimate_load(inst, now) : 0;
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -186,6 +186,8 @@
 	if (inst != NULL)
 		return inst;
 	inst = add_instance(registry, entry);
+	if (inst != NULL)
+		inst->joined_us = pb_now(ctx);
 	if (inst != NULL)
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%s of %s joined at %s", inst->id, inst->service,
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -142,6 +142,48 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/*
+ * Guards against a prefix that is read again although another instance holds
+ * it: at a full home, at a home that is draining, and at one that has joined.
+ */
+static void
+test_prefix_holder(void)
+{
+	struct pb_registry *reg = new_fleet(6);
+	struct pb_placement p = {.service = pb_str_from("s"),
+	    .domain = pb_str_from("a"),
+	    .affinity = 77,
+	    .rnd = &rnd};
+	struct pb_placement_facts facts;
+	struct pb_instance *home, *other;
+	char id[PB_INSTANCE_TEXT];
+	int i;
+
+	pb_advance_clock(&clk, 60 * PB_SEC);
+	home = pb_choose_instance(ctx, reg, &p, &facts);
+	pb_copy_str(id, sizeof(id), home->id);
+	CU_ASSERT_PTR_NULL(facts.holder);
+	for (i = 0; i < 40; i++)
+		pb_note_dispatch(home);
+	other = pb_choose_instance(ctx, reg, &p, &facts);
+	CU_ASSERT_PTR_NOT_EQUAL(other, home);
+	CU_ASSERT_PTR_EQUAL(facts.holder, home);
+	for (i = 0; i < 40; i++)
+		pb_note_release(home);
+	apply(reg, id, "a", true, 1);
+	CU_ASSERT_PTR_EQUAL(pb_choose_instance(ctx, reg, &p, &facts), other);
+	CU_ASSERT_PTR_EQUAL(facts.holder, home);
+	/* Its successor reads the prefix from the one that came after it. */
+	apply(reg, id, "a", false, 2);
+	home = pb_choose_instance(ctx, reg, &p, &facts);
+	CU_ASSERT_PTR_NOT_EQUAL(home, other);
+	CU_ASSERT_PTR_EQUAL(facts.holder, other);
+	pb_note_unreachable(ctx, other);
+	pb_choose_instance(ctx, reg, &p, &facts);
+	CU_ASSERT_PTR_NOT_EQUAL(facts.holder, other);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Guards against requests to an instance that fails most of them. */
 static void
 test_failing_instance(void)
@@ -302,6 +344,7 @@
 	static CU_TestInfo tests[] = {{"one home", test_one_home},
 	    {"hot prefix", test_hot_prefix},
 	    {"reported load", test_reported_load},
+	    {"prefix holder", test_prefix_holder},
 	    {"shared load", test_shared_load},
 	    {"failing instance", test_failing_instance},
 	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
