--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -87,8 +87,8 @@
 void pb_defer_removals(struct pb_registry *registry, int64_t until_us);
 void pb_expire_instances(struct pb_context *ctx, struct pb_registry *registry);
 
-size_t pb_count_instances(
-    const struct pb_registry *registry, struct pb_str service);
+/* Listed instances that are not draining. */
+size_t pb_count_instances(const struct pb_registry *registry);
 struct pb_instance *pb_find_instance(
     const struct pb_registry *registry, struct pb_str id);
 
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -216,7 +216,7 @@
 static void
 deliver_answer(struct pb_exchange *x)
 {
-	struct pb_front *front = x->front;
+	struct pb_conn *conn = x->conn;
 	struct pb_buf fields = x->answer_fields;
 	struct pb_buf body = x->answer;
 	bool started = x->started, streaming = x->streaming;
@@ -224,22 +224,22 @@
 
 	x->answer_fields = (struct pb_buf){0};
 	x->answer = (struct pb_buf){0};
-	x->front = NULL;
+	x->conn = NULL;
 	pb_finish_exchange(x, status < 300 ? "complete" : "upstream's answer");
-	if (front == NULL)
+	if (conn == NULL)
 		goto out;
-	front->exchange = NULL;
+	conn->exchange = NULL;
 	if (!streaming) {
-		pb_reply_front(front, status,
+		pb_reply_conn(conn, status,
 		    (struct pb_str){fields.data, fields.len},
 		    (struct pb_str){body.data, body.len});
 		goto out;
 	}
 	if (!started)
-		pb_start_front(
-		    front, status, (struct pb_str){fields.data, fields.len});
-	pb_send_front(front, (struct pb_str){body.data, body.len});
-	pb_end_front(front);
+		pb_start_conn(
+		    conn, status, (struct pb_str){fields.data, fields.len});
+	pb_send_conn(conn, (struct pb_str){body.data, body.len});
+	pb_end_conn(conn);
 out:
 	pb_clear_buf(&fields);
 	pb_clear_buf(&body);
--- /dev/null
+++ b/source/gateway/gateway-conn.c
@@ -0,0 +1,387 @@
+#include "gateway-internal.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define ACCEPT_BACKLOG 1024 /* connections */
+/* Used until the operator's limits are known. */
+#define HEAD_MAX 16384 /* bytes */
+#define BODY_MAX (1 << 20) /* bytes */
+#define HEAD_TIMEOUT_US (5 * PB_SEC)
+#define IDLE_TIMEOUT_US (15 * PB_SEC)
+/* Requests that arrive behind the one in progress wait unread beyond this. */
+#define READ_AHEAD_MAX 65536 /* bytes */
+/* A caller that lets this much of a stream pile up is cut off. */
+#define WRITE_BEHIND_MAX (1 << 20) /* bytes */
+/* How long the caller has to close after the last answer. */
+#define LINGER_US PB_SEC
+
+static void read_conn(struct pb_conn *conn);
+
+static void
+on_request_head(struct pb_http_reader *reader)
+{
+	struct pb_conn *conn = reader->owner;
+	struct pb_str expect = pb_find_http_field(&reader->head, "Expect");
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	if (pb_same_http_name(expect, "100-continue"))
+		pb_write_now(
+		    conn->bev, (struct pb_str){go_on, sizeof(go_on) - 1});
+}
+
+static void
+on_request_body(struct pb_http_reader *reader, struct pb_str part)
+{
+	struct pb_conn *conn = reader->owner;
+
+	if (pb_append_buf(&conn->body, part.data, part.len) != PB_OK)
+		reader->error = PB_HTTP_BODY_TOO_LARGE;
+}
+
+static const struct pb_http_ops reader_ops = {on_request_head, on_request_body};
+
+void
+pb_drop_conn(struct pb_conn *conn)
+{
+	struct pb_exchange *x = conn->exchange;
+
+	if (conn->reading) {
+		conn->dead = true;
+		return;
+	}
+	conn->exchange = NULL;
+	TAILQ_REMOVE(&conn->gw->conns, conn, entry);
+	bufferevent_free(conn->bev);
+	pb_clear_http_reader(&conn->reader);
+	pb_clear_buf(&conn->body);
+	free(conn);
+	if (x != NULL)
+		pb_leave_exchange(x);
+}
+
+/* Sends what is queued, then waits for the caller to close. */
+static void
+linger_conn(struct pb_conn *conn)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	conn->close_after = true;
+	if (evbuffer_get_length(out) > 0 || conn->lingering)
+		return;
+	conn->lingering = true;
+	conn->activity_us = pb_now(conn->gw->ctx);
+	shutdown(bufferevent_getfd(conn->bev), SHUT_WR);
+}
+
+/* The answer is complete: goes on with the connection or closes it. */
+static void
+finish_answer(struct pb_conn *conn)
+{
+	conn->exchange = NULL;
+	conn->handling = false;
+	conn->chunked = false;
+	conn->activity_us = pb_now(conn->gw->ctx);
+	if (conn->close_after) {
+		linger_conn(conn);
+		return;
+	}
+	conn->body.len = 0;
+	pb_reset_http_reader(&conn->reader);
+	if (!conn->reading)
+		read_conn(conn);
+}
+
+static void
+append_head(
+    struct pb_conn *conn, struct pb_buf *buf, int status, struct pb_str fields)
+{
+	if (conn->gw->stop_us != 0 || !conn->reader.head.keep_alive)
+		conn->close_after = true;
+	pb_append_fmt(
+	    buf, "HTTP/1.1 %d %s\r\n", status, pb_http_reason(status));
+	pb_append_buf(buf, fields.data, fields.len);
+	if (conn->close_after)
+		pb_append_fmt(buf, "Connection: close\r\n");
+}
+
+void
+pb_reply_conn(
+    struct pb_conn *conn, int status, struct pb_str fields, struct pb_str body)
+{
+	struct pb_buf buf = {0};
+
+	append_head(conn, &buf, status, fields);
+	pb_append_fmt(&buf, "Content-Length: %zu\r\n\r\n", body.len);
+	if (conn->reader.head.method != HTTP_HEAD)
+		pb_append_buf(&buf, body.data, body.len);
+	pb_write_now(conn->bev, (struct pb_str){buf.data, buf.len});
+	pb_clear_buf(&buf);
+	finish_answer(conn);
+}
+
+void
+pb_start_conn(struct pb_conn *conn, int status, struct pb_str fields)
+{
+	struct pb_buf buf = {0};
+
+	append_head(conn, &buf, status, fields);
+	pb_append_fmt(&buf, "Transfer-Encoding: chunked\r\n\r\n");
+	pb_write_now(conn->bev, (struct pb_str){buf.data, buf.len});
+	pb_clear_buf(&buf);
+	conn->chunked = true;
+}
+
+void
+pb_send_conn(struct pb_conn *conn, struct pb_str part)
+{
+	struct pb_buf buf = {0};
+
+	if (part.len == 0)
+		return;
+	pb_append_fmt(&buf, "%zx\r\n", part.len);
+	pb_append_buf(&buf, part.data, part.len);
+	pb_append_buf(&buf, "\r\n", 2);
+	pb_write_now(conn->bev, (struct pb_str){buf.data, buf.len});
+	pb_clear_buf(&buf);
+}
+
+void
+pb_end_conn(struct pb_conn *conn)
+{
+	static const char last[] = "0\r\n\r\n";
+
+	pb_write_now(conn->bev, (struct pb_str){last, sizeof(last) - 1});
+	finish_answer(conn);
+}
+
+void
+pb_abort_conn(struct pb_conn *conn)
+{
+	conn->exchange = NULL;
+	pb_drop_conn(conn);
+}
+
+/* A request that cannot be read; nothing of it is passed on. */
+static void
+reject_conn(struct pb_conn *conn, int status)
+{
+	conn->close_after = true;
+	conn->handling = true;
+	pb_log(conn->gw->ctx, PB_INFO, "read request", NULL, NULL,
+	    "refused with %d: %s", status,
+	    status == 400 ? "malformed or ambiguous" : "a limit is passed");
+	pb_reply_conn(conn, status, PB_STR_NONE, PB_STR_NONE);
+}
+
+static int
+status_of(enum pb_http_error error)
+{
+	switch (error) {
+	case PB_HTTP_HEAD_TOO_LARGE:
+		return 431;
+	case PB_HTTP_BODY_TOO_LARGE:
+		return 413;
+	default:
+		return 400;
+	}
+}
+
+static void
+set_limits(struct pb_conn *conn)
+{
+	const struct pb_routing *routing = conn->gw->routing;
+
+	if (routing == NULL || conn->reader.started)
+		return;
+	conn->reader.head_max = routing->limits.head_max;
+	conn->reader.body_max = routing->limits.body_max;
+}
+
+/* Feeds what has arrived; false when there is nothing more to do now. */
+static bool
+read_some(struct pb_conn *conn)
+{
+	struct evbuffer *in = bufferevent_get_input(conn->bev);
+	size_t len = evbuffer_get_contiguous_space(in);
+	size_t n;
+
+	if (conn->lingering || conn->close_after) {
+		evbuffer_drain(in, evbuffer_get_length(in));
+		return false;
+	}
+	if (conn->handling || len == 0)
+		return false;
+	set_limits(conn);
+	if (!conn->reader.started)
+		conn->activity_us = pb_now(conn->gw->ctx);
+	n = pb_feed_http(&conn->reader,
+	    (const char *)evbuffer_pullup(in, (ev_ssize_t)len), len);
+	evbuffer_drain(in, n);
+	if (conn->reader.error != PB_HTTP_OK) {
+		reject_conn(conn, status_of(conn->reader.error));
+		return true;
+	}
+	if (!conn->reader.complete)
+		return true;
+	conn->handling = true;
+	conn->ops->request(conn);
+	return !conn->handling;
+}
+
+static void
+read_conn(struct pb_conn *conn)
+{
+	conn->reading = true;
+	while (!conn->dead && read_some(conn))
+		;
+	conn->reading = false;
+	if (conn->dead)
+		pb_drop_conn(conn);
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	read_conn(arg);
+}
+
+static void
+on_write(struct bufferevent *bev, void *arg)
+{
+	struct pb_conn *conn = arg;
+
+	(void)bev;
+	if (conn->close_after && !conn->handling)
+		linger_conn(conn);
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	(void)bev;
+	if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+		pb_drop_conn(arg);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *addr, int len, void *arg)
+{
+	struct pb_entrance *entrance = arg;
+	struct pb_gateway *gw = entrance->gw;
+	struct pb_conn *conn = calloc(1, sizeof(*conn));
+
+	(void)listener;
+	(void)addr;
+	(void)len;
+	if (conn == NULL) {
+		evutil_closesocket(fd);
+		return;
+	}
+	pb_tune_socket(fd);
+	conn->bev = bufferevent_socket_new(gw->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	if (conn->bev == NULL) {
+		evutil_closesocket(fd);
+		free(conn);
+		return;
+	}
+	conn->ops = entrance->ops;
+	conn->gw = gw;
+	conn->activity_us = pb_now(gw->ctx);
+	pb_init_http_reader(
+	    &conn->reader, HTTP_REQUEST, &reader_ops, conn, HEAD_MAX, BODY_MAX);
+	TAILQ_INSERT_TAIL(&gw->conns, conn, entry);
+	bufferevent_setcb(conn->bev, on_read, on_write, on_event, conn);
+	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_MAX);
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+}
+
+struct evconnlistener *
+pb_listen_conn(struct pb_gateway *gw, struct pb_entrance *entrance,
+    const char *address, const struct pb_conn_ops *ops)
+{
+	struct sockaddr_storage addr;
+	struct evconnlistener *listener;
+	int len;
+
+	entrance->gw = gw;
+	entrance->ops = ops;
+	if (!pb_parse_address(address, &addr, &len)) {
+		pb_set_error(gw->ctx, PB_EINVAL, "listen", address,
+		    "not an address with a port");
+		return NULL;
+	}
+	listener = evconnlistener_new_bind(gw->base, on_accept, entrance,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+	    ACCEPT_BACKLOG, (struct sockaddr *)&addr, len);
+	if (listener == NULL)
+		pb_set_error(gw->ctx, PB_EUNAVAIL, "listen", address, "%s",
+		    strerror(errno));
+	return listener;
+}
+
+/* True if the connection has outlived what it waits for. */
+static bool
+is_overdue(const struct pb_conn *conn, int64_t now)
+{
+	const struct pb_routing *routing = conn->gw->routing;
+	int64_t idle =
+	    routing != NULL ? routing->limits.idle_timeout_us : IDLE_TIMEOUT_US;
+
+	if (conn->lingering)
+		return now - conn->activity_us > LINGER_US;
+	return !conn->handling && !conn->reader.started &&
+	    now - conn->activity_us > idle;
+}
+
+/* True if a request has begun and does not get complete. */
+static bool
+is_slow(const struct pb_conn *conn, int64_t now)
+{
+	const struct pb_routing *routing = conn->gw->routing;
+	int64_t limit =
+	    routing != NULL ? routing->limits.head_timeout_us : HEAD_TIMEOUT_US;
+
+	return !conn->handling && conn->reader.started && !conn->close_after &&
+	    now - conn->activity_us > limit;
+}
+
+static bool
+is_clogged(const struct pb_conn *conn)
+{
+	return evbuffer_get_length(bufferevent_get_output(conn->bev)) >
+	    WRITE_BEHIND_MAX;
+}
+
+void
+pb_sweep_conns(struct pb_gateway *gw)
+{
+	int64_t now = pb_now(gw->ctx);
+	struct pb_conn *conn, *next;
+
+	for (conn = TAILQ_FIRST(&gw->conns); conn != NULL; conn = next) {
+		next = TAILQ_NEXT(conn, entry);
+		if (is_overdue(conn, now) || is_clogged(conn))
+			pb_drop_conn(conn);
+		else if (is_slow(conn, now))
+			reject_conn(conn, 408);
+	}
+}
+
+void
+pb_close_idle_conns(struct pb_gateway *gw)
+{
+	struct pb_conn *conn, *next;
+
+	for (conn = TAILQ_FIRST(&gw->conns); conn != NULL; conn = next) {
+		next = TAILQ_NEXT(conn, entry);
+		if (!conn->handling && !conn->reader.started &&
+		    !conn->close_after)
+			linger_conn(conn);
+	}
+}
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -68,7 +68,7 @@
 
 	(void)fd;
 	(void)what;
-	pb_sweep_fronts(gw);
+	pb_sweep_conns(gw);
 	pb_answer_held(gw);
 	pb_expire_instances(gw->ctx, gw->registry);
 	pb_continue_stop(gw);
@@ -81,14 +81,14 @@
 {
 	const struct pb_gateway_settings *s = &gw->settings;
 
-	gw->caller_listener = pb_listen_front(
-	    gw, &gw->caller_entrance, s->caller, &pb_caller_ops);
+	gw->caller_listener =
+	    pb_listen_conn(gw, &gw->caller_entrance, s->caller, &pb_caller_ops);
 	gw->ready_listener =
-	    pb_listen_front(gw, &gw->ready_entrance, s->ready, &pb_ready_ops);
-	gw->metrics_listener = pb_listen_front(
+	    pb_listen_conn(gw, &gw->ready_entrance, s->ready, &pb_ready_ops);
+	gw->metrics_listener = pb_listen_conn(
 	    gw, &gw->metrics_entrance, s->metrics, &pb_metrics_ops);
 	gw->peer_listener =
-	    pb_listen_front(gw, &gw->peer_entrance, s->peer, &pb_peer_ops);
+	    pb_listen_conn(gw, &gw->peer_entrance, s->peer, &pb_peer_ops);
 	if (gw->caller_listener == NULL || gw->ready_listener == NULL ||
 	    gw->metrics_listener == NULL || gw->peer_listener == NULL)
 		return gw->ctx->error.code;
@@ -161,7 +161,7 @@
 	gw->settings_time_ns = file_time_ns(path);
 	gw->rnd.state =
 	    pb_hash_cstr(settings->instance, (uint64_t)pb_wall(ctx));
-	TAILQ_INIT(&gw->fronts);
+	TAILQ_INIT(&gw->conns);
 	TAILQ_INIT(&gw->exchanges);
 	if (start_state(gw) != PB_OK || start_listeners(gw) != PB_OK ||
 	    start_timers(gw) != PB_OK) {
@@ -219,12 +219,12 @@
 	while (!TAILQ_EMPTY(&gw->exchanges)) {
 		struct pb_exchange *x = TAILQ_FIRST(&gw->exchanges);
 
-		if (x->front != NULL)
-			x->front->exchange = NULL;
+		if (x->conn != NULL)
+			x->conn->exchange = NULL;
 		pb_drop_exchange(x);
 	}
-	while (!TAILQ_EMPTY(&gw->fronts))
-		pb_drop_front(TAILQ_FIRST(&gw->fronts));
+	while (!TAILQ_EMPTY(&gw->conns))
+		pb_drop_conn(TAILQ_FIRST(&gw->conns));
 	drop_listener(gw->caller_listener);
 	drop_listener(gw->ready_listener);
 	drop_listener(gw->metrics_listener);
--- a/source/gateway/gateway-events.c
+++ b/source/gateway/gateway-events.c
@@ -53,16 +53,16 @@
 static void
 pass_on(struct pb_exchange *x, const char *data, size_t len)
 {
-	if (x->front == NULL || len == 0)
+	if (x->conn == NULL || len == 0)
 		return;
 	if (!x->started) {
 		x->started = true;
 		x->first_us = pb_now(x->gw->ctx);
-		pb_start_front(x->front, x->status,
+		pb_start_conn(x->conn, x->status,
 		    (struct pb_str){
 			x->answer_fields.data, x->answer_fields.len});
 	}
-	pb_send_front(x->front, (struct pb_str){data, len});
+	pb_send_conn(x->conn, (struct pb_str){data, len});
 }
 
 bool
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -14,17 +14,17 @@
 #define STREAM_SILENCE_US (1500 * PB_MSEC)
 
 struct pb_exchange *
-pb_new_exchange(struct pb_front *front)
+pb_new_exchange(struct pb_conn *conn)
 {
-	struct pb_gateway *gw = front->gw;
+	struct pb_gateway *gw = conn->gw;
 	struct pb_exchange *x = calloc(1, sizeof(*x));
 
 	if (x == NULL)
 		return NULL;
 	TAILQ_INSERT_TAIL(&gw->exchanges, x, entry);
 	x->gw = gw;
-	x->front = front;
-	front->exchange = x;
+	x->conn = conn;
+	conn->exchange = x;
 	x->routing = pb_keep_routing(gw->routing);
 	x->arena = pb_new_arena(gw->ctx);
 	if (x->arena == NULL) {
@@ -107,22 +107,22 @@
 void
 pb_fail_exchange(struct pb_exchange *x, int status, const char *why)
 {
-	struct pb_front *front = x->front;
+	struct pb_conn *conn = x->conn;
 	int64_t left = x->deadline_us - pb_now(x->gw->ctx);
 	bool started = x->started;
 
-	x->front = NULL;
+	x->conn = NULL;
 	x->status = status;
 	pb_finish_exchange(x, why);
-	if (front == NULL)
+	if (conn == NULL)
 		return;
-	front->exchange = NULL;
+	conn->exchange = NULL;
 	if (started)
-		pb_abort_front(front);
+		pb_abort_conn(conn);
 	else if (status == 503)
-		pb_refuse_front(front, status, left);
+		pb_refuse_conn(conn, status, left);
 	else
-		pb_reply_front(front, status, PB_STR_NONE, PB_STR_NONE);
+		pb_reply_conn(conn, status, PB_STR_NONE, PB_STR_NONE);
 }
 
 /* The earliest moment at which the timer has something to do. */
@@ -217,10 +217,10 @@
 void
 pb_start_exchange(struct pb_exchange *x)
 {
-	struct pb_front *front = x->front;
+	struct pb_conn *conn = x->conn;
 
-	x->body = front->body;
-	front->body = (struct pb_buf){0};
+	x->body = conn->body;
+	conn->body = (struct pb_buf){0};
 	x->timer = evtimer_new(x->gw->base, on_timer, x);
 	if (x->timer == NULL) {
 		pb_fail_exchange(x, 503, "out of memory");
@@ -233,7 +233,7 @@
 void
 pb_leave_exchange(struct pb_exchange *x)
 {
-	x->front = NULL;
+	x->conn = NULL;
 	/*
 	 * Work that may not be repeated is left to end by itself: breaking it
 	 * off would leave its outcome unknown.
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -11,7 +11,7 @@
 
 #include <sys/queue.h>
 
-struct pb_front;
+struct pb_conn;
 struct pb_exchange;
 struct pb_watch;
 struct pb_gateway_metrics;
@@ -21,7 +21,7 @@
 /* Repeats that a router may send whatever its traffic. */
 #define PB_RETRY_SLACK 2
 
-TAILQ_HEAD(pb_front_list, pb_front);
+TAILQ_HEAD(pb_conn_list, pb_conn);
 TAILQ_HEAD(pb_exchange_list, pb_exchange);
 
 /* The retry budget of one service. */
@@ -31,12 +31,12 @@
 	struct pb_service_budget *next;
 };
 
-struct pb_front_ops;
+struct pb_conn_ops;
 
 /* What an address that is listened on serves. */
 struct pb_entrance {
 	struct pb_gateway *gw;
-	const struct pb_front_ops *ops;
+	const struct pb_conn_ops *ops;
 };
 
 struct pb_gateway {
@@ -56,10 +56,9 @@
 	struct event *sweep_timer;
 	struct event *term_signal;
 	struct event *reload_signal;
-	struct pb_front_list fronts;
+	struct pb_conn_list conns;
 	struct pb_exchange_list exchanges;
 	struct pb_routing *routing; /* NULL: none read yet */
-	int64_t routing_us; /* when it was put in force */
 	int64_t routing_row; /* store version of its row */
 	struct pb_buf routing_text; /* its row, for other routers */
 	struct pb_registry *registry;
@@ -136,7 +135,6 @@
     struct pb_gateway *gw, struct pb_instance *instance);
 void pb_drop_link(struct pb_link *link);
 void pb_drop_idle_links(struct pb_instance *instance);
-void pb_expire_idle_links(struct pb_gateway *gw, struct pb_instance *instance);
 /* Sends a whole request; the link serves one call at a time. */
 int pb_send_call(struct pb_link *link, struct pb_link_call *call,
     struct pb_str head, struct pb_str body);
@@ -145,14 +143,14 @@
 /* Called in head: the answer is not this call's; waits for the next one. */
 void pb_skip_answer(struct pb_link_call *call);
 
-/* gateway-front.c: a connection from a caller. */
+/* gateway-conn.c: a connection that was accepted, of a caller or a peer. */
 
-struct pb_front_ops {
-	void (*request)(struct pb_front *front);
+struct pb_conn_ops {
+	void (*request)(struct pb_conn *conn);
 };
 
-struct pb_front {
-	const struct pb_front_ops *ops;
+struct pb_conn {
+	const struct pb_conn_ops *ops;
 	struct pb_gateway *gw;
 	struct bufferevent *bev;
 	struct pb_http_reader reader;
@@ -166,37 +164,37 @@
 	bool close_after; /* close when the answer is sent */
 	bool lingering; /* sent everything; waits for the caller's end */
 	bool dead;
-	TAILQ_ENTRY(pb_front) entry;
+	TAILQ_ENTRY(pb_conn) entry;
 };
 
 /* entrance is filled in and outlives the listener. */
-struct evconnlistener *pb_listen_front(struct pb_gateway *gw,
+struct evconnlistener *pb_listen_conn(struct pb_gateway *gw,
     struct pb_entrance *entrance, const char *address,
-    const struct pb_front_ops *ops);
+    const struct pb_conn_ops *ops);
 /* A whole answer. fields: further head lines, each with its end of line. */
-void pb_reply_front(struct pb_front *front, int status, struct pb_str fields,
-    struct pb_str body);
+void pb_reply_conn(
+    struct pb_conn *conn, int status, struct pb_str fields, struct pb_str body);
 /* An answer of unknown length: head, any number of parts, end. */
-void pb_start_front(struct pb_front *front, int status, struct pb_str fields);
-void pb_send_front(struct pb_front *front, struct pb_str part);
-void pb_end_front(struct pb_front *front);
+void pb_start_conn(struct pb_conn *conn, int status, struct pb_str fields);
+void pb_send_conn(struct pb_conn *conn, struct pb_str part);
+void pb_end_conn(struct pb_conn *conn);
 /* Breaks off an answer: the caller sees that it is not complete. */
-void pb_abort_front(struct pb_front *front);
-void pb_drop_front(struct pb_front *front);
+void pb_abort_conn(struct pb_conn *conn);
+void pb_drop_conn(struct pb_conn *conn);
 /* Closes connections that are idle, slow or lingering for too long. */
-void pb_sweep_fronts(struct pb_gateway *gw);
+void pb_sweep_conns(struct pb_gateway *gw);
 /* Closes idle connections at once, for a stop. */
-void pb_close_idle_fronts(struct pb_gateway *gw);
+void pb_close_idle_conns(struct pb_gateway *gw);
 
 /* gateway-request.c: checks a request and starts its exchange. */
-extern const struct pb_front_ops pb_caller_ops;
+extern const struct pb_conn_ops pb_caller_ops;
 
 /* gateway-ready.c */
-extern const struct pb_front_ops pb_ready_ops;
-extern const struct pb_front_ops pb_metrics_ops;
+extern const struct pb_conn_ops pb_ready_ops;
+extern const struct pb_conn_ops pb_metrics_ops;
 bool pb_is_ready(struct pb_gateway *gw);
 /* Refuses a request as not run, with the time after which to come back. */
-void pb_refuse_front(struct pb_front *front, int status, int64_t left_us);
+void pb_refuse_conn(struct pb_conn *conn, int status, int64_t left_us);
 
 /* gateway-watch.c: follows one table of the store. */
 
@@ -267,7 +265,7 @@
 /* gateway-peer.c: answers other routers. */
 #define PB_CHANGES_PATH "/changes"
 #define PB_ROUTING_PATH "/routing"
-extern const struct pb_front_ops pb_peer_ops;
+extern const struct pb_conn_ops pb_peer_ops;
 /* Reports of load for another router, and from one. */
 struct load_report;
 void pb_fill_reports(struct pb_gateway *gw, int64_t since_us, bool own,
@@ -284,7 +282,7 @@
 struct pb_exchange {
 	struct pb_link_call call;
 	struct pb_gateway *gw;
-	struct pb_front *front; /* NULL: the caller has left */
+	struct pb_conn *conn; /* NULL: the caller has left */
 	struct pb_arena *arena;
 	struct pb_routing *routing; /* counted */
 	const struct pb_route *route;
@@ -325,9 +323,9 @@
 	TAILQ_ENTRY(pb_exchange) entry;
 };
 
-/* Takes the body of front. The exchange drops itself when it has ended. */
+/* Takes the body of conn. The exchange drops itself when it has ended. */
 void pb_start_exchange(struct pb_exchange *x);
-struct pb_exchange *pb_new_exchange(struct pb_front *front);
+struct pb_exchange *pb_new_exchange(struct pb_conn *conn);
 void pb_drop_exchange(struct pb_exchange *x);
 /* Sets the timer to the next moment at which the attempt must be looked at. */
 void pb_arm_exchange(struct pb_exchange *x);
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -155,25 +155,6 @@
 	}
 }
 
-void
-pb_expire_idle_links(struct pb_gateway *gw, struct pb_instance *instance)
-{
-	struct pb_link **p = &instance->idle;
-	int64_t now = pb_now(gw->ctx);
-
-	while (*p != NULL) {
-		struct pb_link *link = *p;
-
-		if (!is_stale(link, now)) {
-			p = &link->next_idle;
-			continue;
-		}
-		*p = link->next_idle;
-		instance->idle_count--;
-		pb_drop_link(link);
-	}
-}
-
 static void
 complete_link(struct pb_link *link)
 {
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -47,16 +47,15 @@
 }
 
 static bool
-decode_question(struct pb_front *front, struct change_question *q)
+decode_question(struct pb_conn *conn, struct change_question *q)
 {
 	XDR xdr;
 	bool ok;
 
 	memset(q, 0, sizeof(*q));
-	if (front->body.len == 0)
+	if (conn->body.len == 0)
 		return false;
-	xdrmem_create(
-	    &xdr, front->body.data, (u_int)front->body.len, XDR_DECODE);
+	xdrmem_create(&xdr, conn->body.data, (u_int)conn->body.len, XDR_DECODE);
 	ok = xdr_change_question(&xdr, q);
 	xdr_destroy(&xdr);
 	if (!ok)
@@ -102,9 +101,9 @@
 
 static int
 build_answer(
-    struct pb_front *front, const struct change_question *q, struct pb_buf *buf)
+    struct pb_conn *conn, const struct change_question *q, struct pb_buf *buf)
 {
-	struct pb_gateway *gw = front->gw;
+	struct pb_gateway *gw = conn->gw;
 	struct change_answer answer = {0};
 	struct load_report reports[LOAD_REPORTS_MAX];
 	struct pb_change *changes;
@@ -115,8 +114,8 @@
 	answer.sequence = pb_registry_sequence(gw->registry);
 	answer.full = pb_needs_full_list(gw->registry, q->epoch, q->since);
 	answer.routing_row = gw->routing_row;
-	answer.routing_age = front->held_us - gw->routing_fresh_us;
-	answer.instances_age = front->held_us - gw->instances_fresh_us;
+	answer.routing_age = conn->held_us - gw->routing_fresh_us;
+	answer.instances_age = conn->held_us - gw->instances_fresh_us;
 	answer.clock = pb_now(gw->ctx);
 	answer.reports.reports_val = reports;
 	pb_fill_reports(
@@ -141,13 +140,13 @@
 }
 
 static void
-answer_question(struct pb_front *front, const struct change_question *q)
+answer_question(struct pb_conn *conn, const struct change_question *q)
 {
 	struct pb_buf buf = {0};
-	int rc = build_answer(front, q, &buf);
+	int rc = build_answer(conn, q, &buf);
 
-	front->held_us = 0;
-	pb_reply_front(front, rc == PB_OK ? 200 : 503, PB_STR_NONE,
+	conn->held_us = 0;
+	pb_reply_conn(conn, rc == PB_OK ? 200 : 503, PB_STR_NONE,
 	    (struct pb_str){buf.data, buf.len});
 	pb_clear_buf(&buf);
 }
@@ -174,67 +173,67 @@
 }
 
 static void
-refuse_question(struct pb_front *front)
+refuse_question(struct pb_conn *conn)
 {
-	front->held_us = 0;
-	pb_reply_front(front, 503, PB_STR_NONE, PB_STR_NONE);
+	conn->held_us = 0;
+	pb_reply_conn(conn, 503, PB_STR_NONE, PB_STR_NONE);
 }
 
 static void
-send_routing(struct pb_front *front)
+send_routing(struct pb_conn *conn)
 {
-	struct pb_gateway *gw = front->gw;
+	struct pb_gateway *gw = conn->gw;
 	char tag[48];
 
 	snprintf(
 	    tag, sizeof(tag), "ETag: %lld\r\n", (long long)gw->routing_row);
-	pb_reply_front(front, 200, pb_str_from(tag),
+	pb_reply_conn(conn, 200, pb_str_from(tag),
 	    (struct pb_str){gw->routing_text.data, gw->routing_text.len});
 }
 
 static void
-on_question(struct pb_front *front)
+on_question(struct pb_conn *conn)
 {
-	struct pb_gateway *gw = front->gw;
-	struct pb_str target = pb_http_target(&front->reader.head);
+	struct pb_gateway *gw = conn->gw;
+	struct pb_str target = pb_http_target(&conn->reader.head);
 	struct change_question q;
 
 	if (!is_useful(gw)) {
-		refuse_question(front);
+		refuse_question(conn);
 		return;
 	}
 	if (pb_str_equal_c(target, PB_ROUTING_PATH)) {
-		send_routing(front);
+		send_routing(conn);
 		return;
 	}
-	if (!decode_question(front, &q)) {
-		pb_reply_front(front, 400, PB_STR_NONE, PB_STR_NONE);
+	if (!decode_question(conn, &q)) {
+		pb_reply_conn(conn, 400, PB_STR_NONE, PB_STR_NONE);
 		return;
 	}
-	front->held_us = pb_now(gw->ctx);
+	conn->held_us = pb_now(gw->ctx);
 	pb_apply_reports(gw, q.reports.reports_val, q.reports.reports_len);
 	if (has_news(gw, &q))
-		answer_question(front, &q);
+		answer_question(conn, &q);
 	free_question(&q);
 }
 
-const struct pb_front_ops pb_peer_ops = {on_question};
+const struct pb_conn_ops pb_peer_ops = {on_question};
 
 void
 pb_answer_held(struct pb_gateway *gw)
 {
 	int64_t now = pb_now(gw->ctx);
-	struct pb_front *front, *next;
+	struct pb_conn *conn, *next;
 	struct change_question q;
 
-	for (front = TAILQ_FIRST(&gw->fronts); front != NULL; front = next) {
-		next = TAILQ_NEXT(front, entry);
-		if (front->held_us == 0 || !decode_question(front, &q))
+	for (conn = TAILQ_FIRST(&gw->conns); conn != NULL; conn = next) {
+		next = TAILQ_NEXT(conn, entry);
+		if (conn->held_us == 0 || !decode_question(conn, &q))
 			continue;
 		if (!is_useful(gw))
-			refuse_question(front);
-		else if (now - front->held_us >= HOLD_US || has_news(gw, &q))
-			answer_question(front, &q);
+			refuse_question(conn);
+		else if (now - conn->held_us >= HOLD_US || has_news(gw, &q))
+			answer_question(conn, &q);
 		free_question(&q);
 	}
 }
--- a/source/gateway/gateway-ready.c
+++ b/source/gateway/gateway-ready.c
@@ -24,9 +24,9 @@
 }
 
 static void
-answer_ready(struct pb_front *front)
+answer_ready(struct pb_conn *conn)
 {
-	struct pb_gateway *gw = front->gw;
+	struct pb_gateway *gw = conn->gw;
 	bool ready = pb_is_ready(gw);
 
 	if (ready != gw->ready_said)
@@ -38,28 +38,28 @@
 			PB_MSEC),
 		    gw->stop_us != 0 ? "; stopping" : "");
 	gw->ready_said = ready;
-	pb_reply_front(front, ready ? 200 : 503, PB_STR_NONE, PB_STR_NONE);
+	pb_reply_conn(conn, ready ? 200 : 503, PB_STR_NONE, PB_STR_NONE);
 }
 
 static void
-answer_metrics(struct pb_front *front)
+answer_metrics(struct pb_conn *conn)
 {
 	struct pb_buf buf = {0};
 
-	pb_format_gateway_metrics(front->gw, &buf);
-	pb_reply_front(front, 200,
+	pb_format_gateway_metrics(conn->gw, &buf);
+	pb_reply_conn(conn, 200,
 	    pb_str_from("Content-Type: text/plain; version=0.0.4\r\n"),
 	    (struct pb_str){buf.data, buf.len});
 	pb_clear_buf(&buf);
 }
 
-const struct pb_front_ops pb_ready_ops = {answer_ready};
-const struct pb_front_ops pb_metrics_ops = {answer_metrics};
+const struct pb_conn_ops pb_ready_ops = {answer_ready};
+const struct pb_conn_ops pb_metrics_ops = {answer_metrics};
 
 void
-pb_refuse_front(struct pb_front *front, int status, int64_t left_us)
+pb_refuse_conn(struct pb_conn *conn, int status, int64_t left_us)
 {
-	struct pb_gateway *gw = front->gw;
+	struct pb_gateway *gw = conn->gw;
 	int64_t span = RETRY_AFTER_MAX_US - RETRY_AFTER_MIN_US;
 	int64_t after = RETRY_AFTER_MIN_US +
 	    (int64_t)(pb_next_unit(&gw->rnd) * (double)span);
@@ -70,5 +70,5 @@
 		after = left_us / 3;
 	snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
 	    (double)after / (double)PB_SEC);
-	pb_reply_front(front, status, pb_str_from(fields), PB_STR_NONE);
+	pb_reply_conn(conn, status, pb_str_from(fields), PB_STR_NONE);
 }
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -42,10 +42,10 @@
 }
 
 static void
-read_known_field(struct pb_front *front, enum pb_request_field kind,
+read_known_field(struct pb_conn *conn, enum pb_request_field kind,
     struct pb_str value, struct request *req)
 {
-	const struct pb_adapter_ops *adapter = front->gw->adapter;
+	const struct pb_adapter_ops *adapter = conn->gw->adapter;
 	int64_t ms;
 
 	switch (kind) {
@@ -75,9 +75,9 @@
 }
 
 static void
-read_fields(struct pb_front *front, struct request *req)
+read_fields(struct pb_conn *conn, struct request *req)
 {
-	const struct pb_http_head *h = &front->reader.head;
+	const struct pb_http_head *h = &conn->reader.head;
 	size_t i;
 
 	for (i = 0; i < h->field_count; i++) {
@@ -92,8 +92,8 @@
 		} else if (pb_same_http_name(name, "Content-Length")) {
 			req->has_body = true;
 		} else {
-			read_known_field(front,
-			    front->gw->adapter->classify_field(name), value,
+			read_known_field(conn,
+			    conn->gw->adapter->classify_field(name), value,
 			    req);
 		}
 	}
@@ -102,9 +102,9 @@
 /* True for fields that the upstream gets as the caller sent them. */
 static bool
 is_passed_on(
-    struct pb_front *front, const struct request *req, struct pb_str name)
+    struct pb_conn *conn, const struct request *req, struct pb_str name)
 {
-	enum pb_request_field kind = front->gw->adapter->classify_field(name);
+	enum pb_request_field kind = conn->gw->adapter->classify_field(name);
 
 	if (pb_is_hop_field(name))
 		return false;
@@ -124,7 +124,7 @@
 static int
 copy_head(struct pb_exchange *x, const struct request *req)
 {
-	const struct pb_http_head *h = &x->front->reader.head;
+	const struct pb_http_head *h = &x->conn->reader.head;
 	struct pb_str target = pb_http_target(h);
 	size_t i;
 	int rc = pb_append_fmt(&x->head, "%s %.*s HTTP/1.1\r\n",
@@ -134,7 +134,7 @@
 		struct pb_str name = pb_http_name(h, i);
 		struct pb_str value = pb_http_value(h, i);
 
-		if (is_passed_on(x->front, req, name))
+		if (is_passed_on(x->conn, req, name))
 			rc = pb_append_fmt(&x->head, "%.*s: %.*s\r\n",
 			    (int)name.len, name.data, (int)value.len,
 			    value.data);
@@ -212,7 +212,7 @@
 	x->deadline_us = x->received_us + limit;
 	x->has_last_event = req->has_last_event;
 	x->last_event = req->last_event;
-	x->has_body = req->has_body || x->front->body.len > 0;
+	x->has_body = req->has_body || x->conn->body.len > 0;
 	x->repeatable = route->kind == PB_ROUTE_IDEMPOTENT || route->resumable;
 	set_affinity(x, &req->prompt);
 	if (x->budget == NULL)
@@ -221,10 +221,10 @@
 }
 
 static void
-reject(struct pb_front *front, const struct request *req, int status,
+reject(struct pb_conn *conn, const struct request *req, int status,
     const char *why)
 {
-	struct pb_gateway *gw = front->gw;
+	struct pb_gateway *gw = conn->gw;
 	char id[64];
 
 	snprintf(id, sizeof(id), "%.*s", (int)req->id.len,
@@ -235,13 +235,13 @@
 	    gw->routing != NULL ? (long long)gw->routing->version : -1,
 	    (long long)((pb_now(gw->ctx) - gw->routing_fresh_us) / PB_MSEC));
 	if (status != 503) {
-		pb_reply_front(front, status, PB_STR_NONE, PB_STR_NONE);
+		pb_reply_conn(conn, status, PB_STR_NONE, PB_STR_NONE);
 		return;
 	}
 	/* Another router may know more: the caller connects anew. */
-	front->close_after = true;
-	pb_refuse_front(front, status,
-	    req->time_limit_us > 0 ? req->time_limit_us : PB_SEC);
+	conn->close_after = true;
+	pb_refuse_conn(
+	    conn, status, req->time_limit_us > 0 ? req->time_limit_us : PB_SEC);
 }
 
 /* True while no key can have been taken away for too long. */
@@ -255,55 +255,55 @@
 }
 
 static void
-on_request(struct pb_front *front)
+on_request(struct pb_conn *conn)
 {
-	struct pb_gateway *gw = front->gw;
+	struct pb_gateway *gw = conn->gw;
 	struct request req = {0};
 	const struct pb_account *account = NULL;
 	const struct pb_route *route;
-	struct pb_str target = pb_http_target(&front->reader.head);
+	struct pb_str target = pb_http_target(&conn->reader.head);
 	struct pb_exchange *x;
 
-	read_fields(front, &req);
+	read_fields(conn, &req);
 	if (req.invalid || req.host.len == 0 || req.id.len == 0 ||
 	    target.len == 0 || target.data[0] != '/') {
-		front->close_after = true;
-		reject(front, &req, 400, "a field is missing or stands twice");
+		conn->close_after = true;
+		reject(conn, &req, 400, "a field is missing or stands twice");
 		return;
 	}
 	if (gw->routing == NULL) {
-		reject(front, &req, 503, "no configuration is known yet");
+		reject(conn, &req, 503, "no configuration is known yet");
 		return;
 	}
 	route = pb_find_route(gw->routing, req.host, target);
 	if (route == NULL) {
-		reject(front, &req, 404, "no route");
+		reject(conn, &req, 404, "no route");
 		return;
 	}
 	if (gw->routing->keys_required && req.has_key)
 		account = pb_find_key_holder(gw->routing, req.key);
 	if (gw->routing->keys_required && !route->public_access) {
 		if (!keys_are_current(gw)) {
-			reject(front, &req, 503, "keys cannot be confirmed");
+			reject(conn, &req, 503, "keys cannot be confirmed");
 			return;
 		}
 		if (account == NULL) {
-			reject(front, &req, 401, "no account has the key");
+			reject(conn, &req, 401, "no account has the key");
 			return;
 		}
 	}
 	if (!pb_admits_request(gw, route->timeout_us)) {
-		reject(front, &req, 503, "stopping");
+		reject(conn, &req, 503, "stopping");
 		return;
 	}
-	x = pb_new_exchange(front);
+	x = pb_new_exchange(conn);
 	if (x == NULL || fill_exchange(x, &req, route, account) != PB_OK) {
 		pb_drop_exchange(x);
-		front->exchange = NULL;
-		reject(front, &req, 503, "out of memory, or no service");
+		conn->exchange = NULL;
+		reject(conn, &req, 503, "out of memory, or no service");
 		return;
 	}
 	pb_start_exchange(x);
 }
 
-const struct pb_front_ops pb_caller_ops = {on_request};
+const struct pb_conn_ops pb_caller_ops = {on_request};
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -39,7 +39,6 @@
 	    routing->route_count, routing->account_count, routing->key_count);
 	pb_drop_routing(gw->ctx, gw->routing);
 	gw->routing = routing;
-	gw->routing_us = pb_now(gw->ctx);
 }
 
 void
--- a/source/gateway/gateway-stop.c
+++ b/source/gateway/gateway-stop.c
@@ -44,10 +44,10 @@
 
 	if (gw->stop_us == 0 || now - gw->stop_us < NOTICE_US)
 		return;
-	pb_close_idle_fronts(gw);
+	pb_close_idle_conns(gw);
 	if (!TAILQ_EMPTY(&gw->exchanges) && now - gw->stop_us < limit)
 		return;
-	if (!TAILQ_EMPTY(&gw->fronts) && now - gw->stop_us < limit)
+	if (!TAILQ_EMPTY(&gw->conns) && now - gw->stop_us < limit)
 		return;
 	pb_log(gw->ctx, PB_INFO, "stop", NULL, NULL, "stopped after %lld ms%s",
 	    (long long)((now - gw->stop_us) / PB_MSEC),
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -297,14 +297,11 @@
 }
 
 size_t
-pb_count_instances(const struct pb_registry *registry, struct pb_str service)
+pb_count_instances(const struct pb_registry *registry)
 {
 	size_t i, n = 0;
 
-	for (i = 0; i < registry->count; i++) {
-		const struct pb_instance *inst = registry->instances[i];
-
-		n += !inst->draining && pb_str_equal_c(service, inst->service);
-	}
+	for (i = 0; i < registry->count; i++)
+		n += !registry->instances[i]->draining;
 	return n;
 }
