Let a listing that is asked for wait only behind large answers

Cause: the pause between questions about the routers (20 s) also held up the first listing after the start, so that routers followed none for 20 s. Found by gateway-stop.sh and gateway-follow.sh (red before, green after).

--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -32,7 +32,7 @@
 	int64_t listed_us; /* start of the last complete listing */
 	int64_t lost_us; /* since when the store is away; 0: it answers */
 	int64_t retry_us; /* pause after the next failure */
-	int64_t pause_us; /* from the last question to the next one, at least */
+	int64_t large_pause_us; /* after a large answer; 0: it was small */
 	char after[256]; /* key after which the listing goes on */
 	bool listing; /* the call in progress lists */
 	bool must_list;
@@ -159,19 +159,21 @@
 	return rc;
 }
 
-/* Sets the pause after an answer by its size and the time that it took. */
-static void
-set_pause(struct pb_watch *w)
+/* The pause that the size of an answer and the time that it took ask for. */
+static int64_t
+find_large_pause(const struct pb_watch *w)
 {
 	int64_t pause = (pb_now(w->gw->ctx) - w->sent_us) * LARGE_PAUSE_FACTOR;
 
-	w->pause_us = w->ops->period_us;
 	if (w->answer.len < LARGE_ANSWER || !w->listing)
-		return;
-	if (pause > LARGE_PAUSE_MAX_US)
-		pause = LARGE_PAUSE_MAX_US;
-	if (pause > w->pause_us)
-		w->pause_us = pause;
+		return 0;
+	return pause < LARGE_PAUSE_MAX_US ? pause : LARGE_PAUSE_MAX_US;
+}
+
+static int64_t
+longer(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
 }
 
 static void
@@ -220,8 +222,9 @@
 		note_lost(w, "unreadable answer");
 		return;
 	}
-	set_pause(w);
-	next = w->sent_us + w->pause_us - pb_now(ctx);
+	w->large_pause_us = find_large_pause(w);
+	next = w->sent_us + longer(w->ops->period_us, w->large_pause_us) -
+	    pb_now(ctx);
 	if (next <= 0 || w->after[0] != '\0')
 		ask(w);
 	else
@@ -344,7 +347,7 @@
 	list_anew(watch);
 	if (watch->call.link == NULL &&
 	    pb_now(watch->gw->ctx) - watch->sent_us >=
-		(watch->pause_us > LIST_MIN_US ? watch->pause_us : LIST_MIN_US))
+		longer(LIST_MIN_US, watch->large_pause_us))
 		send_question(watch);
 }
 
