--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -11,7 +11,9 @@
  */
 
 /* Given to the routers of a fleet that starts to announce themselves. */
-#define FIRST_LIST_US (2 * PB_SEC)
+#define FIRST_LIST_US PB_SEC
+/* Given to the store for that list. */
+#define LIST_ANSWER_US (300 * PB_MSEC)
 #define ANSWER_LIMIT_US (1100 * PB_MSEC)
 #define RETRY_US (100 * PB_MSEC)
 /* Gathers changes that follow each other closely in one answer. */
@@ -346,7 +348,7 @@
 	if (!f->listed) {
 		f->listed = true;
 		pb_list_now(f->gw->router_watch);
-		schedule(f, NO_PEER_RETRY_US);
+		schedule(f, LIST_ANSWER_US);
 		return;
 	}
 	peer = f->gw->stop_us == 0 ? choose_peer(f) : NULL;
