--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -164,6 +164,9 @@
 	PB_ERROR
 };
 
+/* The level of that name; PB_INFO for an unknown one. */
+enum pb_level pb_parse_level(const char *name);
+
 /* JSON-lines log. file is borrowed; instance is copied. */
 struct pb_log *pb_new_log(
     FILE *file, enum pb_level level, const char *instance);
--- a/source/base/base-log.c
+++ b/source/base/base-log.c
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
 #define LOG_TEXT_MAX 512 /* bytes of message text in one line */
@@ -67,6 +68,20 @@
 	free(log);
 }
 
+static const char *const level_names[] = {"debug", "info", "warn", "error"};
+
+enum pb_level
+pb_parse_level(const char *name)
+{
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		if (strcmp(name, level_names[i]) == 0)
+			return i;
+	}
+	return PB_INFO;
+}
+
 static void
 write_json_string(FILE *file, const char *s)
 {
@@ -97,7 +112,6 @@
 pb_log(struct pb_context *ctx, enum pb_level level, const char *step,
     const char *peer, const char *request, const char *fmt, ...)
 {
-	static const char *const names[] = {"debug", "info", "warn", "error"};
 	struct pb_log *log = ctx->log;
 	char text[LOG_TEXT_MAX], stamp[32];
 	int64_t wall;
@@ -121,7 +135,7 @@
 		return;
 	}
 	fprintf(log->file, "{\"time\":\"%s.%06dZ\",\"level\":\"%s\"", stamp,
-	    (int)(wall % PB_SEC), names[level]);
+	    (int)(wall % PB_SEC), level_names[level]);
 	write_field(log->file, "instance", log->instance);
 	write_field(log->file, "step", step);
 	write_field(log->file, "peer", peer);
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -71,11 +71,7 @@
 static void
 log_dispatch(struct pb_exchange *x, const struct pb_placement_facts *facts)
 {
-	char id[64];
-
-	snprintf(
-	    id, sizeof(id), "%.*s", (int)x->request_id.len, x->request_id.data);
-	pb_log(x->gw->ctx, PB_INFO, "dispatch", x->instance->id, id,
+	pb_log(x->gw->ctx, PB_INFO, "dispatch", x->instance->id, x->log_id,
 	    "attempt %d; load %.1f of mean %.1f over %zu, report %lld ms old, "
 	    "%s, configuration %lld",
 	    x->attempts + 1, facts->estimate, facts->mean, facts->candidates,
@@ -248,12 +244,8 @@
 static void
 log_failed_attempt(struct pb_exchange *x, const char *why)
 {
-	char id[64];
-
-	snprintf(
-	    id, sizeof(id), "%.*s", (int)x->request_id.len, x->request_id.data);
 	pb_log(x->gw->ctx, PB_WARN, "attempt failed",
-	    x->instance != NULL ? x->instance->id : NULL, id,
+	    x->instance != NULL ? x->instance->id : NULL, x->log_id,
 	    "%s after %lld ms; attempt %d of %d on a %s connection, "
 	    "status %d, ran: %s",
 	    why, (long long)((pb_now(x->gw->ctx) - x->attempt_us) / PB_MSEC),
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -81,11 +81,8 @@
 {
 	struct pb_gateway *gw = x->gw;
 	int64_t now = pb_now(gw->ctx);
-	char id[64];
 
-	snprintf(
-	    id, sizeof(id), "%.*s", (int)x->request_id.len, x->request_id.data);
-	pb_log(gw->ctx, PB_INFO, "end request", NULL, id,
+	pb_log(gw->ctx, PB_INFO, "end request", NULL, x->log_id,
 	    "%s; route %.*s (%s), account %.*s, attempts %d, status %d, "
 	    "first part after %lld ms, all after %lld ms, may have run: %s, "
 	    "configuration %lld",
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -289,6 +289,7 @@
 	const struct pb_account *account; /* NULL: none */
 	struct pb_service_budget *budget;
 	struct pb_str request_id;
+	char log_id[64]; /* the same, cut if needed, for log lines */
 	struct pb_str service;
 	struct pb_buf
 	    head; /* the request as it is passed on, without its end */
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -205,6 +205,8 @@
 	x->service = backend->service;
 	x->budget = find_budget(gw, backend->service);
 	x->request_id = pb_arena_str(x->arena, req->id.data, req->id.len);
+	snprintf(x->log_id, sizeof(x->log_id), "%.*s", (int)req->id.len,
+	    req->id.data);
 	if (limit == 0 ||
 	    (req->time_limit_us > 0 && req->time_limit_us < limit))
 		limit = req->time_limit_us;
--- a/source/tools/poplarbeam-gateway.c
+++ b/source/tools/poplarbeam-gateway.c
@@ -9,19 +9,6 @@
 
 #define SETTINGS_VARIABLE "POPLARBEAM_BOOT"
 
-static enum pb_level
-parse_level(const char *name)
-{
-	static const char *const names[] = {"debug", "info", "warn", "error"};
-	int i;
-
-	for (i = 0; i < 4; i++) {
-		if (strcmp(name, names[i]) == 0)
-			return i;
-	}
-	return PB_INFO;
-}
-
 static int
 run(const char *path, bool check_only)
 {
@@ -43,7 +30,7 @@
 	}
 	pb_drop_log(log);
 	log = pb_new_log(
-	    stdout, parse_level(settings.log_level), settings.instance);
+	    stdout, pb_parse_level(settings.log_level), settings.instance);
 	ctx->log = log;
 	pb_limit_log(log, (int)settings.log_lines_per_s);
 	gw = pb_new_gateway(ctx, &settings, path, pb_platform_adapter());
--- a/source/tools/poplarbeamd.c
+++ b/source/tools/poplarbeamd.c
@@ -10,19 +10,6 @@
 
 #define POLL_SEC 1 /* how often a drain request is looked for */
 
-static enum pb_level
-parse_level(const char *name)
-{
-	static const char *const names[] = {"debug", "info", "warn", "error"};
-	int i;
-
-	for (i = 0; i < 4; i++) {
-		if (strcmp(name, names[i]) == 0)
-			return i;
-	}
-	return PB_INFO;
-}
-
 /* Blocks until a signal or an operator asks for a stop. */
 static void
 wait_for_stop(const sigset_t *set, const struct pb_router *router)
@@ -88,7 +75,7 @@
 		goto done;
 	}
 	ctx->log =
-	    pb_new_log(stderr, parse_level(boot.log_level), boot.instance);
+	    pb_new_log(stderr, pb_parse_level(boot.log_level), boot.instance);
 	rc = run(ctx, &boot);
 	pb_drop_log(ctx->log);
 done:
