--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -221,6 +221,7 @@
 	x->answer_fields = (struct pb_buf){0};
 	x->answer = (struct pb_buf){0};
 	x->conn = NULL;
+	x->may_have_run = true;
 	pb_finish_exchange(x, status < 300 ? "complete" : "upstream's answer");
 	if (conn == NULL)
 		goto out;
