Follow another router from a version of the store

A router that began to follow another one, or changed to another one, fetched the whole list of instances from it, although it had just read the same list from the store. With 1,000 instances an answer has 0.1 MB; 24 followers at a router with 10 Mbit/s time out after 1.1 s, ask again, and fill its link, which also delays callers.

The registry now remembers which sequence belongs to which version of the store. A question names the version up to which the list is known, and the answer has the changes since. A router that is itself behind holds the question until it has caught up. A router that loses its leader goes on with the store's feed from that version and does not list anew. The version does not advance while a removal is deferred.

Ruled out: the processor (0.02 core) and the store (no refusal).

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -105,6 +105,19 @@
 /* True if the changes after since are no longer all known. */
 bool pb_needs_full_list(
     const struct pb_registry *registry, uint64_t epoch, uint64_t since);
+/*
+ * The registry holds all of the platform's list up to this version of its
+ * store. Ignored while a removal is deferred: the list still differs then.
+ */
+void pb_note_list_version(struct pb_registry *registry, int64_t version);
+/* The last version that was noted; 0: none. */
+int64_t pb_list_version(const struct pb_registry *registry);
+/*
+ * A sequence that was reached at or before the version, for a router that
+ * knows the list up to there; false if it is not remembered.
+ */
+bool pb_find_sequence(
+    const struct pb_registry *registry, int64_t version, uint64_t *sequence);
 /*
  * Stores up to cap changes after since, or all instances if full, and returns
  * how many there are.
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -42,6 +42,7 @@
 	u_quad_t epoch;
 	u_quad_t since;
 	quad_t routing_row;
+	quad_t list_row;
 	quad_t reports_since;
 	struct {
 		u_int reports_len;
@@ -55,6 +56,7 @@
 	u_quad_t sequence;
 	bool_t full;
 	quad_t routing_row;
+	quad_t list_row;
 	quad_t routing_age;
 	quad_t instances_age;
 	struct {
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -33,6 +33,7 @@
 	unsigned hyper epoch;
 	unsigned hyper since;
 	hyper routing_row;	/* store version of the known configuration */
+	hyper list_row;		/* the same of the list of instances; 0: none */
 	hyper reports_since;	/* clock of the last answer; 0: none yet */
 	load_report reports<LOAD_REPORTS_MAX>; /* seen since the last question */
 };
@@ -42,6 +43,7 @@
 	unsigned hyper sequence;
 	bool full;		/* entries replace all that is known */
 	hyper routing_row;
+	hyper list_row;
 	/*
 	 * Microseconds from the moment at which the knowledge was current to
 	 * the arrival of the question; negative when it was renewed since.
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -64,6 +64,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routing_row))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->list_row))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->reports_since))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, LOAD_REPORTS_MAX,
@@ -85,6 +87,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routing_row))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->list_row))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routing_age))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->instances_age))
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -15,6 +15,8 @@
 /* Given to the store for that list. */
 #define LIST_ANSWER_US (300 * PB_MSEC)
 #define ANSWER_LIMIT_US (1100 * PB_MSEC)
+/* From a question to the last part of its answer that is waited for. */
+#define FULL_LIMIT_US (4 * PB_SEC)
 #define RETRY_US (100 * PB_MSEC)
 /* Gathers changes that follow each other closely in one answer. */
 #define ASK_PAUSE_US (50 * PB_MSEC)
@@ -159,6 +161,7 @@
 		apply_entry(gw, &a->entries.entries_val[i]);
 	if (a->full)
 		pb_end_listing(gw->ctx, gw->registry);
+	pb_note_list_version(gw->registry, a->list_row);
 	pb_apply_reports(gw, a->reports.reports_val, a->reports.reports_len);
 	f->reports_since = a->clock;
 	f->epoch = a->epoch;
@@ -216,6 +219,9 @@
 
 	if (pb_append_buf(&f->answer, part.data, part.len) != PB_OK)
 		f->status = 0;
+	/* A full list may take long on a small link. */
+	if (pb_now(f->gw->ctx) - f->sent_us < FULL_LIMIT_US)
+		schedule(f, ANSWER_LIMIT_US);
 }
 
 /* The peer's configuration, for a router that the store turns away. */
@@ -282,6 +288,7 @@
 	struct change_question q = {.epoch = f->epoch,
 	    .since = f->since,
 	    .routing_row = f->gw->routing_row,
+	    .list_row = pb_list_version(f->gw->registry),
 	    .reports_since = f->reports_since,
 	    .reports = {0, reports}};
 	char body[QUESTION_MAX];
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -204,6 +204,10 @@
 	/* A listing replaces all that is known; may be NULL. */
 	void (*begin)(struct pb_gateway *gw);
 	void (*end)(struct pb_gateway *gw);
+	/* All up to this version of the store has been applied; may be NULL. */
+	void (*complete)(struct pb_gateway *gw, int64_t version);
+	/* The version up to which all is known from elsewhere; may be NULL. */
+	int64_t (*known)(const struct pb_gateway *gw);
 	/* Called before an answer is applied that was current at fresh_us. */
 	void (*fresh)(struct pb_gateway *gw, int64_t fresh_us);
 	/*
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -6,6 +6,8 @@
 
 /* A question waits this long for a change. */
 #define HOLD_US (500 * PB_MSEC)
+/* A router with a newer list than the own one waits this long for it. */
+#define CATCH_UP_US (900 * PB_MSEC)
 
 void
 pb_fill_reports(struct pb_gateway *gw, int64_t since_us, bool own,
@@ -99,12 +101,31 @@
 	return rc;
 }
 
+/*
+ * The sequence after which the asking router needs changes; false: it needs
+ * the full list. A router that has not asked this one before may know the list
+ * up to a version of the store.
+ */
+static bool
+find_since(const struct pb_registry *reg, const struct change_question *q,
+    uint64_t *since)
+{
+	uint64_t epoch = pb_registry_epoch(reg);
+
+	*since = q->since;
+	if (q->epoch != epoch &&
+	    (q->list_row == 0 || !pb_find_sequence(reg, q->list_row, since)))
+		return false;
+	return !pb_needs_full_list(reg, epoch, *since);
+}
+
 static int
 build_answer(
     struct pb_conn *conn, const struct change_question *q, struct pb_buf *buf)
 {
 	struct pb_gateway *gw = conn->gw;
 	struct change_answer answer = {0};
+	uint64_t since;
 	struct load_report reports[LOAD_REPORTS_MAX];
 	struct pb_change *changes;
 	size_t i, n;
@@ -112,15 +133,16 @@
 
 	answer.epoch = pb_registry_epoch(gw->registry);
 	answer.sequence = pb_registry_sequence(gw->registry);
-	answer.full = pb_needs_full_list(gw->registry, q->epoch, q->since);
+	answer.full = !find_since(gw->registry, q, &since);
 	answer.routing_row = gw->routing_row;
+	answer.list_row = pb_list_version(gw->registry);
 	answer.routing_age = conn->held_us - gw->routing_fresh_us;
 	answer.instances_age = conn->held_us - gw->instances_fresh_us;
 	answer.clock = pb_now(gw->ctx);
 	answer.reports.reports_val = reports;
 	pb_fill_reports(
 	    gw, q->reports_since, false, reports, &answer.reports.reports_len);
-	n = pb_read_changes(gw->registry, q->since, answer.full, NULL, 0);
+	n = pb_read_changes(gw->registry, since, answer.full, NULL, 0);
 	changes = calloc(n + 1, sizeof(*changes));
 	answer.entries.entries_val =
 	    calloc(n + 1, sizeof(*answer.entries.entries_val));
@@ -128,7 +150,7 @@
 		rc = PB_ENOMEM;
 		goto out;
 	}
-	pb_read_changes(gw->registry, q->since, answer.full, changes, n);
+	pb_read_changes(gw->registry, since, answer.full, changes, n);
 	for (i = 0; i < n; i++)
 		fill_entry(&answer.entries.entries_val[i], &changes[i]);
 	answer.entries.entries_len = (u_int)n;
@@ -151,11 +173,20 @@
 	pb_clear_buf(&buf);
 }
 
+/* True if a router that has not asked before knows a newer list. */
+static bool
+is_ahead(const struct pb_gateway *gw, const struct change_question *q)
+{
+	return q->epoch != pb_registry_epoch(gw->registry) &&
+	    q->list_row > pb_list_version(gw->registry);
+}
+
 static bool
 has_news(struct pb_gateway *gw, const struct change_question *q)
 {
-	return q->epoch != pb_registry_epoch(gw->registry) ||
-	    q->since != pb_registry_sequence(gw->registry) ||
+	if (q->epoch != pb_registry_epoch(gw->registry))
+		return !is_ahead(gw, q);
+	return q->since != pb_registry_sequence(gw->registry) ||
 	    q->routing_row != gw->routing_row;
 }
 
@@ -230,9 +261,11 @@
 		next = TAILQ_NEXT(conn, entry);
 		if (conn->held_us == 0 || !decode_question(conn, &q))
 			continue;
-		if (!is_useful(gw))
+		if (!is_useful(gw) ||
+		    (is_ahead(gw, &q) && now - conn->held_us >= CATCH_UP_US))
 			refuse_question(conn);
-		else if (now - conn->held_us >= HOLD_US || has_news(gw, &q))
+		else if (has_news(gw, &q) ||
+		    (!is_ahead(gw, &q) && now - conn->held_us >= HOLD_US))
 			answer_question(conn, &q);
 		free_question(&q);
 	}
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -127,6 +127,18 @@
 	pb_end_listing(gw->ctx, gw->registry);
 }
 
+static void
+on_instances_complete(struct pb_gateway *gw, int64_t version)
+{
+	pb_note_list_version(gw->registry, version);
+}
+
+static int64_t
+find_known_list(const struct pb_gateway *gw)
+{
+	return pb_list_version(gw->registry);
+}
+
 static void
 on_router_row(struct pb_gateway *gw, struct pb_arena *arena,
     const struct pb_store_row *row)
@@ -148,6 +160,8 @@
 const struct pb_watch_ops pb_instance_watch_ops = {.row = on_instance_row,
     .begin = on_instances_begin,
     .end = on_instances_end,
+    .complete = on_instances_complete,
+    .known = find_known_list,
     .fresh = pb_note_instances_fresh,
     .pauses = true,
     .table = PB_STORE_INSTANCES,
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -102,6 +102,13 @@
 		w->ops->row(w->gw, arena, &page->rows[i]);
 }
 
+static void
+note_complete(struct pb_watch *w)
+{
+	if (w->ops->complete != NULL)
+		w->ops->complete(w->gw, w->version);
+}
+
 /* One page of a listing; the last one makes it complete. */
 static void
 apply_listing(struct pb_watch *w, struct pb_arena *arena,
@@ -130,6 +137,7 @@
 	w->listed_us = w->list_sent_us;
 	if (w->ops->end != NULL)
 		w->ops->end(w->gw);
+	note_complete(w);
 }
 
 static int
@@ -153,6 +161,7 @@
 		apply_rows(w, arena, &page);
 		if (page.version > w->version)
 			w->version = page.version;
+		note_complete(w);
 		w->must_list = page.count > 0 && w->ops->lists_after_change;
 	}
 	pb_drop_arena(ctx, arena);
@@ -332,10 +341,18 @@
 void
 pb_resume_watch(struct pb_watch *watch)
 {
+	int64_t version;
+
 	if (watch == NULL || !watch->paused)
 		return;
-	/* Much may have changed since the last question. */
-	list_anew(watch);
+	version = watch->ops->known != NULL ? watch->ops->known(watch->gw) : 0;
+	if (version > 0 && !watch->must_list) {
+		watch->version = version;
+		watch->listed_us = pb_now(watch->gw->ctx);
+	} else {
+		/* Much may have changed since the last question. */
+		list_anew(watch);
+	}
 	ask(watch);
 }
 
--- a/source/registry/registry-changes.c
+++ b/source/registry/registry-changes.c
@@ -36,6 +36,61 @@
 	    since < oldest->sequence;
 }
 
+static bool
+has_deferred_removal(const struct pb_registry *registry)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		if (registry->instances[i]->lapse_us != 0)
+			return true;
+	}
+	return false;
+}
+
+void
+pb_note_list_version(struct pb_registry *registry, int64_t version)
+{
+	const struct list_version *last =
+	    &registry->versions[(registry->version_count - 1) % VERSIONS];
+
+	if (version <= registry->list_version || has_deferred_removal(registry))
+		return;
+	registry->list_version = version;
+	/* Versions that changed nothing here are covered by the last one. */
+	if (registry->version_count > 0 && last->sequence == registry->sequence)
+		return;
+	registry->versions[registry->version_count++ % VERSIONS] =
+	    (struct list_version){version, registry->sequence};
+}
+
+int64_t
+pb_list_version(const struct pb_registry *registry)
+{
+	return registry->list_version;
+}
+
+bool
+pb_find_sequence(
+    const struct pb_registry *registry, int64_t version, uint64_t *sequence)
+{
+	size_t known = registry->version_count < VERSIONS
+	    ? registry->version_count
+	    : VERSIONS;
+	size_t i;
+	bool found = false;
+
+	for (i = 0; i < known; i++) {
+		const struct list_version *v = &registry->versions[i];
+
+		if (v->version > version || (found && v->sequence < *sequence))
+			continue;
+		*sequence = v->sequence;
+		found = true;
+	}
+	return found;
+}
+
 static size_t
 read_departures(const struct pb_registry *registry, uint64_t since,
     struct pb_change *changes, size_t cap)
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -5,12 +5,20 @@
 
 /* Removals that followers can still be told of. */
 #define DEPARTURES 256
+/* Changes of the list whose versions of the store are remembered. */
+#define VERSIONS 64
 
 struct departure {
 	char id[PB_INSTANCE_TEXT];
 	uint64_t sequence;
 };
 
+/* The sequence that the registry had at a version of the store. */
+struct list_version {
+	int64_t version;
+	uint64_t sequence;
+};
+
 struct pb_registry {
 	const struct pb_registry_ops *ops;
 	void *owner;
@@ -22,6 +30,9 @@
 	uint64_t sequence;
 	struct departure departures[DEPARTURES]; /* a ring */
 	size_t departure_count; /* so far */
+	struct list_version versions[VERSIONS]; /* a ring */
+	size_t version_count; /* so far */
+	int64_t list_version;
 };
 
 /* What an outcome of that age still counts. */
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -323,6 +323,70 @@
 	pb_drop_registry(ctx, b);
 }
 
+/*
+ * Guards against a router that knows the list up to a version of the store and
+ * is told too little, or the whole list, when it begins to follow another one.
+ */
+static void
+test_versions(void)
+{
+	struct pb_registry *a = new_fleet(0);
+	struct pb_registry *b = new_fleet(0);
+	struct pb_random r = {7};
+	uint64_t since = 0;
+	int64_t version;
+	char id[16];
+	int i;
+
+	CU_ASSERT_FALSE(pb_find_sequence(a, 5, &since));
+	for (version = 1; version <= 400; version++) {
+		for (i = 0; i < 3; i++) {
+			snprintf(id, sizeof(id), "i%d",
+			    (int)(pb_next_random(&r) % 40));
+			if (pb_next_unit(&r) < 0.4)
+				pb_remove_instance(ctx, a, pb_str_from(id));
+			else
+				apply(a, id, "a", pb_next_unit(&r) < 0.3, 1);
+		}
+		pb_note_list_version(a, version * 10);
+		CU_ASSERT_EQUAL(pb_list_version(a), version * 10);
+		if (pb_next_unit(&r) > 0.1)
+			continue;
+		/* b knows the list up to a version between two of a's. */
+		if (!pb_find_sequence(a, pb_list_version(b) + 5, &since))
+			since = 0;
+		copy_changes(a, b, since);
+		pb_note_list_version(b, version * 10);
+		CU_ASSERT_EQUAL(pb_count_instances(a), pb_count_instances(b));
+	}
+	CU_ASSERT(pb_find_sequence(a, 400 * 10 + 3, &since));
+	CU_ASSERT_EQUAL(since, pb_registry_sequence(a));
+	CU_ASSERT_FALSE(pb_find_sequence(a, 10, &since));
+	pb_drop_registry(ctx, a);
+	pb_drop_registry(ctx, b);
+}
+
+/*
+ * Guards against a version under which an entry is still listed that the store
+ * no longer has: a router that goes on from there would never hear of it.
+ */
+static void
+test_version_with_deferred_removal(void)
+{
+	struct pb_registry *reg = new_fleet(2);
+
+	pb_note_list_version(reg, 10);
+	pb_defer_removals(reg, pb_now(ctx) + 2 * PB_SEC);
+	pb_remove_instance(ctx, reg, pb_str_from("i0"));
+	pb_note_list_version(reg, 11);
+	CU_ASSERT_EQUAL(pb_list_version(reg), 10);
+	pb_advance_clock(&clk, 3 * PB_SEC);
+	pb_expire_instances(ctx, reg);
+	pb_note_list_version(reg, 12);
+	CU_ASSERT_EQUAL(pb_list_version(reg), 12);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Guards against heartbeats that are passed on as changes. */
 static void
 test_heartbeats(void)
@@ -348,7 +412,10 @@
 	    {"failing instance", test_failing_instance},
 	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
 	    {"restart", test_restart}, {"changes", test_changes},
-	    {"heartbeats", test_heartbeats}, CU_TEST_INFO_NULL};
+	    {"heartbeats", test_heartbeats}, {"versions", test_versions},
+	    {"version with deferred removal",
+		test_version_with_deferred_removal},
+	    CU_TEST_INFO_NULL};
 	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
