--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -177,10 +177,16 @@
 use_answer(struct pb_follow *f, const struct change_answer *a)
 {
 	struct pb_gateway *gw = f->gw;
+	char why[96];
 
 	if (a->routing_age > ROUTING_AGE_MAX_US ||
 	    a->instances_age > INSTANCES_AGE_MAX_US) {
-		stop_following(f, "its knowledge is old");
+		snprintf(why, sizeof(why),
+		    "configuration confirmed %lld ms ago, instances %lld ms "
+		    "ago",
+		    (long long)(a->routing_age / PB_MSEC),
+		    (long long)(a->instances_age / PB_MSEC));
+		stop_following(f, why);
 		return;
 	}
 	apply_changes(f, a);
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -215,6 +215,8 @@
 	 * listing after a change goes straight to the newest one.
 	 */
 	bool lists_after_change;
+	/* Leaves most of a small link to callers after a large answer. */
+	bool spares_link;
 	bool pauses; /* does not ask while the router follows another one */
 	enum pb_store_table table;
 	const char *name;
