List the instances anew each 60 s, before each 8 s

Cause: a listing of 2,354 entries is five answers of 190 KB, 1.4 s on a link of 10 Mbit/s, and no change is heard meanwhile. Instances that left during a listing got requests for up to 3.3 s. Found by logging each answer of the store on a scratch copy.

Ruled out: heartbeats.

--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -23,8 +23,11 @@
  * return at once; the list is asked for changes this often instead.
  */
 #define INSTANCE_PERIOD_US (700 * PB_MSEC)
-/* Catches changes that a watch has missed. */
-#define INSTANCE_LIST_PERIOD_US (8 * PB_SEC)
+/*
+ * Catches changes that a watch has missed. No change is heard meanwhile, and
+ * a listing of 3,000 instances takes 2 s on a link of 10 Mbit/s.
+ */
+#define INSTANCE_LIST_PERIOD_US (60 * PB_SEC)
 #define ROUTER_PERIOD_US (20 * PB_SEC)
 #define ROUTER_LIST_PERIOD_US (60 * PB_SEC)
 
--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -7,8 +7,10 @@
  * Control calls, so that a test plays the operator and the outages:
  *   PUT /control/row/TABLE/KEY    stores the body as the row's value
  *   DELETE /control/row/TABLE/KEY
- *   PUT /control/mode             body: ok, down, silent, forget, slow MS or
- *                               refuse (calls at the second port get 429)
+ *   PUT /control/rows/TABLE       body: lines of a key, a space and a value
+ *   PUT /control/mode             body: ok, down, silent, forget, slow MS,
+ *                               slow-lists MS (only listings) or refuse
+ *                               (calls at the second port get 429)
  *   GET /control/calls            number of calls answered or refused
  *   GET /control/row/TABLE/KEY    the value of a row, for checks
  */
@@ -24,7 +26,9 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define ROWS_MAX 512
+#define ROWS_MAX 4096
+/* Of one answer to a question for changes. */
+#define FEED_ROWS_MAX 500
 #define WAITS_MAX 256
 #define NAME_MAX_LEN 80
 
@@ -60,6 +64,7 @@
 	long long calls;
 	enum mode mode;
 	int delay_ms;
+	int list_delay_ms;
 };
 
 /* An answer that is sent later. */
@@ -90,9 +95,10 @@
 }
 
 static void
-send_json(struct store *s, struct evhttp_request *req, int status, json_t *body)
+send_later(struct store *s, struct evhttp_request *req, int status,
+    json_t *body, int delay_ms)
 {
-	struct timeval tv = {s->delay_ms / 1000, s->delay_ms % 1000 * 1000};
+	struct timeval tv = {delay_ms / 1000, delay_ms % 1000 * 1000};
 	struct delayed *d = calloc(1, sizeof(*d));
 	char *text = json_dumps(body, JSON_COMPACT);
 
@@ -105,12 +111,18 @@
 	free(text);
 	json_decref(body);
 	d->timer = evtimer_new(s->base, on_delay, d);
-	if (s->delay_ms == 0)
+	if (delay_ms == 0)
 		on_delay(-1, 0, d);
 	else
 		evtimer_add(d->timer, &tv);
 }
 
+static void
+send_json(struct store *s, struct evhttp_request *req, int status, json_t *body)
+{
+	send_later(s, req, status, body, s->delay_ms);
+}
+
 static struct row *
 find_row(struct store *s, const char *table, const char *key)
 {
@@ -154,12 +166,60 @@
 	return list;
 }
 
+static json_t *
+page_json(json_t *rows, long long version)
+{
+	return json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "more-pages", 0,
+	    "ver", (json_int_t)version, "now-ms", (json_int_t)0);
+}
+
+static int
+compare_versions(const void *a, const void *b)
+{
+	const json_t *const *x = a, *const *y = b;
+	json_int_t v = json_integer_value(json_object_get(*x, "ver"));
+	json_int_t w = json_integer_value(json_object_get(*y, "ver"));
+
+	return v < w ? -1 : v > w;
+}
+
+/* The oldest changes, in order, as many as one answer may have. */
+static json_t *
+first_changes(json_t *rows, long long *version)
+{
+	size_t i, n = json_array_size(rows);
+	json_t **all = calloc(n + 1, sizeof(json_t *));
+	json_t *first = json_array();
+
+	for (i = 0; i < n; i++)
+		all[i] = json_array_get(rows, i);
+	qsort(all, n, sizeof(json_t *), compare_versions);
+	for (i = 0; i < n && i < FEED_ROWS_MAX; i++)
+		json_array_append(first, all[i]);
+	if (n > FEED_ROWS_MAX)
+		*version = json_integer_value(
+		    json_object_get(all[FEED_ROWS_MAX - 1], "ver"));
+	free(all);
+	json_decref(rows);
+	return first;
+}
+
 static void
 answer_rows(struct store *s, struct evhttp_request *req, json_t *rows)
 {
-	send_json(s, req, 200,
-	    json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "more-pages", 0, "ver",
-		(json_int_t)s->version, "now-ms", (json_int_t)0));
+	long long version = s->version;
+
+	rows = first_changes(rows, &version);
+	send_json(s, req, 200, page_json(rows, version));
+}
+
+static void
+answer_list(struct store *s, struct evhttp_request *req, const char *table)
+{
+	int delay_ms = s->list_delay_ms > 0 ? s->list_delay_ms : s->delay_ms;
+
+	send_later(s, req, 200,
+	    page_json(select_rows(s, table, 0, false), s->version), delay_ms);
 }
 
 static void
@@ -318,6 +378,7 @@
 
 	evbuffer_remove(in, text, sizeof(text) - 1);
 	s->delay_ms = 0;
+	s->list_delay_ms = 0;
 	s->mode = MODE_OK;
 	if (strncmp(text, "down", 4) == 0)
 		s->mode = MODE_DOWN;
@@ -327,6 +388,8 @@
 		s->mode = MODE_SILENT;
 	else if (strncmp(text, "slow ", 5) == 0)
 		s->delay_ms = atoi(text + 5);
+	else if (strncmp(text, "slow-lists ", 11) == 0)
+		s->list_delay_ms = atoi(text + 11);
 	else if (strncmp(text, "forget", 6) == 0)
 		s->forgotten = s->version;
 	send_now(req, 200, NULL);
@@ -345,14 +408,43 @@
 	evbuffer_free(out);
 }
 
+static void
+put_text(struct store *s, const char *table, const char *key, const void *text,
+    size_t n)
+{
+	size_t cap =
+	    sodium_base64_encoded_len(n, sodium_base64_VARIANT_ORIGINAL);
+	char *encoded = malloc(cap);
+
+	sodium_bin2base64(
+	    encoded, cap, text, n, sodium_base64_VARIANT_ORIGINAL);
+	put_row(s, table, key, encoded);
+	free(encoded);
+}
+
+static void
+control_rows(struct store *s, struct evhttp_request *req, const char *table)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	char *line, *value;
+
+	while ((line = evbuffer_readln(in, NULL, EVBUFFER_EOL_LF)) != NULL) {
+		value = strchr(line, ' ');
+		if (value != NULL) {
+			*value++ = '\0';
+			put_text(s, table, line, value, strlen(value));
+		}
+		free(line);
+	}
+	send_now(req, 200, NULL);
+}
+
 static void
 control_row(struct store *s, struct evhttp_request *req, const char *path)
 {
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	size_t n = evbuffer_get_length(in);
 	char table[NAME_MAX_LEN], key[NAME_MAX_LEN];
-	char *text;
-	size_t cap;
 
 	if (sscanf(path, "/control/row/%79[^/]/%79s", table, key) != 2) {
 		send_now(req, 400, NULL);
@@ -367,12 +459,7 @@
 		send_now(req, 200, NULL);
 		return;
 	}
-	cap = sodium_base64_encoded_len(n, sodium_base64_VARIANT_ORIGINAL);
-	text = malloc(cap);
-	sodium_bin2base64(text, cap, evbuffer_pullup(in, -1), n,
-	    sodium_base64_VARIANT_ORIGINAL);
-	put_row(s, table, key, text);
-	free(text);
+	put_text(s, table, key, evbuffer_pullup(in, -1), n);
 	send_now(req, 200, NULL);
 }
 
@@ -383,6 +470,8 @@
 
 	if (strncmp(path, "/control/row/", 13) == 0) {
 		control_row(s, req, path);
+	} else if (strncmp(path, "/control/rows/", 14) == 0) {
+		control_rows(s, req, path + 14);
 	} else if (strcmp(path, "/control/mode") == 0) {
 		control_mode(s, req);
 	} else if (strcmp(path, "/control/calls") == 0) {
@@ -413,8 +502,7 @@
 	if (evhttp_uri_get_query(uri) != NULL)
 		evhttp_parse_query_str(evhttp_uri_get_query(uri), &q);
 	if (strcmp(path, "/poplarbeam/rows-get") == 0)
-		answer_rows(
-		    s, req, select_rows(s, param(&q, "table", ""), 0, false));
+		answer_list(s, req, param(&q, "table", ""));
 	else if (strcmp(path, "/poplarbeam/rows-feed") == 0)
 		serve_feed(s, req, &q);
 	else if (strcmp(path, "/poplarbeam/rows-tx") == 0)
--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -33,17 +33,34 @@
 
 drop_row() { curl -sf -m 5 -X DELETE "$store_url/control/row/$1/$2"; }
 
-# announce_backend N SERVICE [STATE] [SEQUENCE]
-announce_backend() {
+# backend_entry N SERVICE [STATE] [SEQUENCE]
+backend_entry() {
 	printf '{"service":"%s","address":"127.0.0.1:%s","zone":"a",' "$2" \
-	    "$(announced_port "$1")" >"$FLEET_DIR/entry"
+	    "$(announced_port "$1")"
 	printf '"version":"v1","slots":8,"state":"%s","cold-left-ms":0,' \
-	    "${3:-ready}" >>"$FLEET_DIR/entry"
-	printf '"sequence":%s,"born":1700000000000}' "${4:-1}" \
-	    >>"$FLEET_DIR/entry"
+	    "${3:-ready}"
+	printf '"sequence":%s,"born":1700000000000}' "${4:-1}"
+}
+
+# announce_backend N SERVICE [STATE] [SEQUENCE]
+announce_backend() {
+	backend_entry "$@" >"$FLEET_DIR/entry"
 	put_row servers "b$1" <"$FLEET_DIR/entry"
 }
 
+# announce_many FIRST LAST SERVICE [STATE] [SEQUENCE]: all in one call.
+announce_many() {
+	local n first=$1 last=$2
+	shift 2
+	for n in $(seq "$first" "$last"); do
+		printf 'b%s ' "$n"
+		backend_entry "$n" "$@"
+		echo
+	done >"$FLEET_DIR/entries"
+	curl -sf -m 5 -X PUT --data-binary @"$FLEET_DIR/entries" \
+	    "$store_url/control/rows/servers"
+}
+
 # start_backend N SERVICE
 start_backend() {
 	launch "b$1" "$FLEET_BIN/pb-backend" "$(backend_port "$1")" "b$1"
--- a/tests/scripts/gateway-large.sh
+++ b/tests/scripts/gateway-large.sh
@@ -5,12 +5,10 @@
 . tests/lib/gateway-lib.sh
 begin_report
 
-instances=300
+instances=1200
 start_store
 start_backend 1 app
-for n in $(seq 100 $((99 + instances))); do
-	announce_backend "$n" other
-done
+announce_many 100 $((99 + instances)) other
 apply_config 1
 for n in 1 2 3; do start_gateway $n; done
 for n in 1 2 3; do wait_gateway $n; done
@@ -20,6 +18,42 @@
 echo "most entries fetched: $(followed | grep -o '[0-9]* entries' |
     sort -n | tail -1)"
 
+# A change waits neither for a listing nor for many other changes, and a quiet
+# store passes it on at once. Guards against instances that get requests for
+# seconds after they have begun to drain.
+seen_by_all() {
+	local n
+	for n in 1 2 3; do
+		[ "$(ask "$n" p /safe/ok | sed 's/.* //')" = "$1" ] || return 1
+	done
+}
+# time_change STATE SEQUENCE STATUS: milliseconds until all routers know.
+time_change() {
+	local start
+	start=$(now_ms)
+	announce_backend 1 app "$1" "$2"
+	await 5 seen_by_all "$3"
+	echo $(($(now_ms) - start))
+}
+most_ms() {
+	local i ms most=0
+	for i in $(seq "$1"); do
+		ms=$(time_change draining $((i * 2 + 8)) 503)
+		[ "$ms" -gt "$most" ] && most=$ms
+		ms=$(time_change ready $((i * 2 + 9)) 200)
+		[ "$ms" -gt "$most" ] && most=$ms
+		sleep 0.5
+	done
+	echo "$most"
+}
+within 0 450 "$(most_ms 4)" "ms until all know"
+store_mode "slow-lists 1900"
+within 0 1000 "$(most_ms 10)" "ms beside listings"
+store_mode ok
+announce_many 100 $((99 + instances)) other ready 2
+within 0 1000 "$(time_change draining 90 503)" "ms after many changes"
+time_change ready 91 200 >/dev/null
+
 # A follower that loses its leader goes on from the version that it knows.
 find_leader() {
 	followed | grep -o '"peer":"g[0-9]"' | grep -o 'g[0-9]' | sort |
@@ -28,7 +62,7 @@
 leader=$(find_leader)
 others=$(echo 1 2 3 | tr -d "${leader#g}")
 kill -KILL "$(pid_of "$leader")"
-announce_backend 1 app draining 2
+announce_backend 1 app draining 92
 all_refuse() {
 	local n
 	for n in $others; do
