Hear changes of the instances by a held question

Cause: the list was asked for changes each 700 ms because heartbeats were thought to change it all the time. They change no row, so a question held by the store for 600 ms is answered at the moment of a change. An answer has at most 500 rows, and a feed does not say that it was cut: the next question now follows at once (before: 714 rows/s, less than the 1,000 instances of a fleet can change in a release).

Ruled out: a longer wait, since what is known is as old as the question.

The stand-in of the store cuts its answers at 500 rows too.

--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -78,7 +78,7 @@
 	struct pb_store_row *rows;
 	size_t count;
 	int64_t version; /* of the store when it answered */
-	bool more; /* list again after the last key */
+	bool more; /* ask again: list after the last key, or watch */
 };
 
 struct pb_adapter_ops {
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -18,11 +18,10 @@
  */
 #define ROUTING_PERIOD_US (500 * PB_MSEC)
 #define ROUTING_LIST_PERIOD_US (60 * PB_SEC)
-/*
- * Heartbeats change the list all the time, so that a held question would
- * return at once; the list is asked for changes this often instead.
- */
-#define INSTANCE_PERIOD_US (700 * PB_MSEC)
+/* The same about the list of instances: what is known is older than that. */
+#define INSTANCE_WAIT_MS 600
+/* Gathers changes that follow each other closely. */
+#define INSTANCE_PERIOD_US (300 * PB_MSEC)
 /*
  * Catches changes that a watch has missed. No change is heard meanwhile, and
  * a listing of 3,000 instances takes 2 s on a link of 10 Mbit/s.
@@ -170,7 +169,7 @@
     .pauses = true,
     .table = PB_STORE_INSTANCES,
     .name = "the list of instances",
-    .wait_ms = 0,
+    .wait_ms = INSTANCE_WAIT_MS,
     .period_us = INSTANCE_PERIOD_US,
     .list_period_us = INSTANCE_LIST_PERIOD_US};
 
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -36,6 +36,7 @@
 	char after[256]; /* key after which the listing goes on */
 	bool listing; /* the call in progress lists */
 	bool must_list;
+	bool more; /* the store has more changes than fit in its answer */
 	bool paused;
 	bool failed; /* the last question had no answer */
 	int status;
@@ -162,6 +163,7 @@
 		if (page.version > w->version)
 			w->version = page.version;
 		note_complete(w);
+		w->more = page.more;
 		w->must_list = page.count > 0 && w->ops->lists_after_change;
 	}
 	pb_drop_arena(ctx, arena);
@@ -234,7 +236,7 @@
 	w->large_pause_us = find_large_pause(w);
 	next = w->sent_us + longer(w->ops->period_us, w->large_pause_us) -
 	    pb_now(ctx);
-	if (next <= 0 || w->after[0] != '\0')
+	if (next <= 0 || w->after[0] != '\0' || w->more)
 		ask(w);
 	else
 		schedule(w, next);
@@ -294,6 +296,7 @@
 	if (now - w->listed_us > w->ops->list_period_us)
 		w->must_list = true;
 	w->listing = w->must_list;
+	w->more = false;
 	w->answer.len = 0;
 	w->status = 0;
 	w->sent_us = now;
--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -27,8 +27,8 @@
 #include <sys/queue.h>
 
 #define ROWS_MAX 4096
-/* Of one answer to a question for changes. */
-#define FEED_ROWS_MAX 500
+/* Of one answer. */
+#define PAGE_ROWS_MAX 500
 #define WAITS_MAX 256
 #define NAME_MAX_LEN 80
 
@@ -167,9 +167,9 @@
 }
 
 static json_t *
-page_json(json_t *rows, long long version)
+page_json(json_t *rows, bool more, long long version)
 {
-	return json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "more-pages", 0,
+	return json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "more-pages", more,
 	    "ver", (json_int_t)version, "now-ms", (json_int_t)0);
 }
 
@@ -183,9 +183,18 @@
 	return v < w ? -1 : v > w;
 }
 
-/* The oldest changes, in order, as many as one answer may have. */
+static int
+compare_keys(const void *a, const void *b)
+{
+	const json_t *const *x = a, *const *y = b;
+
+	return strcmp(json_string_value(json_object_get(*x, "key")),
+	    json_string_value(json_object_get(*y, "key")));
+}
+
+/* The first rows in an order, as many as one answer may have; drops rows. */
 static json_t *
-first_changes(json_t *rows, long long *version)
+first_rows(json_t *rows, int (*compare)(const void *, const void *))
 {
 	size_t i, n = json_array_size(rows);
 	json_t **all = calloc(n + 1, sizeof(json_t *));
@@ -193,12 +202,9 @@
 
 	for (i = 0; i < n; i++)
 		all[i] = json_array_get(rows, i);
-	qsort(all, n, sizeof(json_t *), compare_versions);
-	for (i = 0; i < n && i < FEED_ROWS_MAX; i++)
+	qsort(all, n, sizeof(json_t *), compare);
+	for (i = 0; i < n && i < PAGE_ROWS_MAX; i++)
 		json_array_append(first, all[i]);
-	if (n > FEED_ROWS_MAX)
-		*version = json_integer_value(
-		    json_object_get(all[FEED_ROWS_MAX - 1], "ver"));
 	free(all);
 	json_decref(rows);
 	return first;
@@ -207,19 +213,38 @@
 static void
 answer_rows(struct store *s, struct evhttp_request *req, json_t *rows)
 {
+	bool more = json_array_size(rows) > PAGE_ROWS_MAX;
+	json_t *first = first_rows(rows, compare_versions);
 	long long version = s->version;
 
-	rows = first_changes(rows, &version);
-	send_json(s, req, 200, page_json(rows, version));
+	if (more)
+		version = json_integer_value(json_object_get(
+		    json_array_get(first, PAGE_ROWS_MAX - 1), "ver"));
+	/* A feed does not say that it was cut. */
+	send_json(s, req, 200, page_json(first, false, version));
 }
 
 static void
-answer_list(struct store *s, struct evhttp_request *req, const char *table)
+answer_list(struct store *s, struct evhttp_request *req, const char *table,
+    const char *from)
 {
 	int delay_ms = s->list_delay_ms > 0 ? s->list_delay_ms : s->delay_ms;
+	json_t *all = select_rows(s, table, 0, false);
+	json_t *rows = json_array();
+	bool more;
+	size_t i;
 
-	send_later(s, req, 200,
-	    page_json(select_rows(s, table, 0, false), s->version), delay_ms);
+	for (i = 0; i < json_array_size(all); i++) {
+		json_t *row = json_array_get(all, i);
+
+		if (strcmp(json_string_value(json_object_get(row, "key")),
+			from) >= 0)
+			json_array_append(rows, row);
+	}
+	json_decref(all);
+	more = json_array_size(rows) > PAGE_ROWS_MAX;
+	rows = first_rows(rows, compare_keys);
+	send_later(s, req, 200, page_json(rows, more, s->version), delay_ms);
 }
 
 static void
@@ -502,7 +527,8 @@
 	if (evhttp_uri_get_query(uri) != NULL)
 		evhttp_parse_query_str(evhttp_uri_get_query(uri), &q);
 	if (strcmp(path, "/poplarbeam/rows-get") == 0)
-		answer_list(s, req, param(&q, "table", ""));
+		answer_list(
+		    s, req, param(&q, "table", ""), param(&q, "from", ""));
 	else if (strcmp(path, "/poplarbeam/rows-feed") == 0)
 		serve_feed(s, req, &q);
 	else if (strcmp(path, "/poplarbeam/rows-tx") == 0)
