--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -81,20 +81,19 @@
 {
 	struct pb_gateway *gw = x->gw;
 	int64_t now = pb_now(gw->ctx);
+	char first[48] = "no part passed on";
 
+	if (x->first_us != 0)
+		snprintf(first, sizeof(first), "first part after %lld ms",
+		    (long long)((x->first_us - x->received_us) / PB_MSEC));
 	pb_log(gw->ctx, PB_INFO, "end request", NULL, x->log_id,
 	    "%s; route %.*s (%s), account %.*s, attempts %d, status %d, "
-	    "first part after %lld ms, all after %lld ms, may have run: %s, "
-	    "configuration %lld",
+	    "%s, all after %lld ms, may have run: %s, configuration %lld",
 	    outcome, (int)x->route->name.len, x->route->name.data,
 	    kind_name(x->route->kind),
 	    x->account != NULL ? (int)x->account->name.len : 0,
 	    x->account != NULL ? x->account->name.data : "", x->attempts,
-	    x->status,
-	    x->first_us != 0
-		? (long long)((x->first_us - x->received_us) / PB_MSEC)
-		: -1,
-	    (long long)((now - x->received_us) / PB_MSEC),
+	    x->status, first, (long long)((now - x->received_us) / PB_MSEC),
 	    x->may_have_run ? "yes" : "no", (long long)x->routing->version);
 	pb_count_outcome(
 	    gw->metrics, x->route->kind, outcome, now - x->received_us);
