Avoid routers that answer nothing for longer each time

Cause: rows of routers that are gone for good stay in the store. A router asked each of them again 5 s after the last time, waited 1.1 s for each, and with five or more of them before a live router it never came to that one.

Ruled out: removing rows. No router can tell whether another one is gone or cut off, and its own stop may be a restart.

Change: the pause doubles with each question in a row without an answer, up to 320 s; a router that answers, even with a refusal, is asked again after 5 s as before.

--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -29,14 +29,20 @@
 #define NO_PEER_RETRY_US (2 * PB_SEC)
 /* Bytes of one question with all its reports. */
 #define QUESTION_MAX (LOAD_REPORTS_MAX * 12 + 64)
-/* A router that does not answer is left alone for this long. */
+/*
+ * A router that cannot help is left alone for this long; one that does not
+ * answer again and again, up to 64 times as long, since the rows of routers
+ * that are gone for good stay in the store.
+ */
 #define AVOID_US (5 * PB_SEC)
+#define AVOID_SHIFT_MAX 6
 /* A router that has not heard from the store for longer is of no use. */
 #define ROUTING_AGE_MAX_US (2600 * PB_MSEC)
 #define INSTANCES_AGE_MAX_US (1400 * PB_MSEC)
 
 struct candidate {
 	struct pb_instance *router; /* its hash gives the order */
+	int silent_count; /* questions in a row without an answer */
 	struct candidate *next;
 };
 
@@ -65,6 +71,7 @@
 };
 
 static void ask_peer(struct pb_follow *f);
+static void stop_following(struct pb_follow *f, const char *why);
 
 bool
 pb_is_following(const struct pb_follow *follow)
@@ -99,6 +106,43 @@
 	pb_resume_watch(f->gw->instance_watch);
 }
 
+static struct candidate *
+find_candidate(const struct pb_follow *f, const struct pb_instance *router)
+{
+	struct candidate *c;
+
+	for (c = f->candidates; c != NULL && c->router != router; c = c->next)
+		;
+	return c;
+}
+
+static void
+note_answer(struct pb_follow *f)
+{
+	struct candidate *c = find_candidate(f, f->peer);
+
+	if (c != NULL)
+		c->silent_count = 0;
+}
+
+/* The peer gave no answer: it is avoided for twice as long as last time. */
+static void
+stop_asking(struct pb_follow *f, const char *why)
+{
+	struct candidate *c = find_candidate(f, f->peer);
+	struct pb_instance *router = f->peer;
+	int64_t us = AVOID_US;
+
+	if (c != NULL) {
+		us <<= c->silent_count;
+		if (c->silent_count < AVOID_SHIFT_MAX)
+			c->silent_count++;
+	}
+	stop_following(f, why);
+	if (c != NULL)
+		pb_note_unreachable_for(f->gw->ctx, router, us);
+}
+
 static void
 stop_following(struct pb_follow *f, const char *why)
 {
@@ -293,6 +337,7 @@
 	XDR xdr;
 
 	evtimer_del(f->timer);
+	note_answer(f);
 	if (f->status != 200 || f->answer.len == 0) {
 		stop_following(f, "it does not know enough");
 		return;
@@ -317,7 +362,7 @@
 	struct pb_follow *f = (struct pb_follow *)call;
 
 	evtimer_del(f->timer);
-	stop_following(f,
+	stop_asking(f,
 	    failure == PB_LINK_NOT_REACHED ? "not reached"
 					   : "connection broken");
 }
@@ -404,7 +449,7 @@
 	(void)what;
 	if (f->call.link != NULL) {
 		pb_cancel_call(&f->call);
-		stop_following(f, "no answer");
+		stop_asking(f, "no answer");
 		return;
 	}
 	if (f->peer != NULL) {
