--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -174,7 +174,8 @@
 {
 	int64_t pause = (pb_now(w->gw->ctx) - w->sent_us) * LARGE_PAUSE_FACTOR;
 
-	if (w->answer.len < LARGE_ANSWER || !w->ops->spares_link)
+	/* After a change, the newest version is listed without a pause. */
+	if (w->answer.len < LARGE_ANSWER || !w->listing || !w->ops->spares_link)
 		return 0;
 	return pause < LARGE_PAUSE_MAX_US ? pause : LARGE_PAUSE_MAX_US;
 }
