--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -77,10 +77,16 @@
 	printf '"sticky":false,"resumable":%s}' "$5"
 }
 
-# apply_config VERSION [KEY[","KEY]]: the routes that the scripts use.
+# apply_config VERSION [KEY[","KEY]]: the routes that the scripts use, and
+# EXTRA_ROUTES more.
 apply_config() {
+	local n
 	{
 		printf '{"version":%s,"routes":[' "$1"
+		for n in $(seq "${EXTRA_ROUTES:-0}"); do
+			route "extra-$n" "/extra-$n/" idempotent 2 false
+			printf ,
+		done
 		route safe /safe/ idempotent 2 false
 		printf ,
 		route once /once/ non_idempotent 2 false
--- a/tests/scripts/gateway-large.sh
+++ b/tests/scripts/gateway-large.sh
@@ -85,6 +85,23 @@
 after=$(curl -sf -m 5 "$store_url/control/lists/op")
 within 0 13 $((after - before)) "listings for ten configurations"
 
+# Guards against a pause between a large version and the one after it: the feed
+# hands out the first one, and only a listing leads to the second.
+EXTRA_ROUTES=600
+apply_config 20
+await 5 seen_by_all 200
+store_mode "slow 250"
+sleep 1.5
+start=$(now_ms)
+apply_config 21
+apply_config 22 other-key
+await 5 seen_by_all 401
+within 0 1000 $(($(now_ms) - start)) "ms until the second large version"
+EXTRA_ROUTES=0
+store_mode ok
+apply_config 23
+await 5 seen_by_all 200
+
 # A follower that loses its leader goes on from the version that it knows.
 kill -KILL "$(pid_of "$leader")"
 announce_backend 1 app draining 92
