Log the first listing in one line also when it is cut off

Cause: the flag for the one-line log of the first listing was set from the number of known instances. A first listing that is given up after one page leaves instances behind, so that the next complete listing logged a line for each of thousands of instances, and the bounded log lost other lines. Change: the registry remembers whether a complete listing has been read. Ruled out: counting the instances at the end of a listing, which is wrong for a fleet whose first listing is empty.

--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -25,7 +25,7 @@
 	struct pb_instance **instances;
 	size_t count;
 	size_t cap;
-	bool first_listing; /* one line tells of all of them */
+	bool complete; /* a whole listing has been read */
 	int64_t defer_until_us; /* 0: removals take effect at once */
 	uint64_t epoch;
 	uint64_t sequence;
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -188,7 +188,8 @@
 	inst = add_instance(registry, entry);
 	if (inst != NULL)
 		inst->joined_us = pb_now(ctx);
-	if (inst != NULL && !registry->first_listing)
+	/* At first, a line for each would crowd out all other lines. */
+	if (inst != NULL && registry->complete)
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%s of %s joined at %s", inst->id, inst->service,
 		    inst->address);
@@ -257,8 +258,6 @@
 {
 	size_t i;
 
-	/* A line for each instance would crowd out all other lines. */
-	registry->first_listing = registry->count == 0;
 	for (i = 0; i < registry->count; i++)
 		registry->instances[i]->listed = false;
 }
@@ -273,10 +272,10 @@
 		    registry->instances[i]->lapse_us == 0)
 			remove_at(ctx, registry, i);
 	}
-	if (registry->first_listing)
+	if (!registry->complete)
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%zu instances listed", registry->count);
-	registry->first_listing = false;
+	registry->complete = true;
 }
 
 void
