End the store's calls when a router begins to follow another one

Found by reading. Change: a router is useful to others once a complete list has a version. When following begins, the watches' calls are cancelled and asked anew, from the version known, when it ends. A watch that resumes from a known version no longer lists first. Ruled out: dropping late answers only; the calls would still be paid for.

--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -55,9 +55,8 @@
 	int64_t reports_since; /* clock of the peer at its last answer */
 	int status;
 	int64_t routing_row; /* store version of the configuration fetched */
+	int64_t routing_fresh_us; /* the peer's one was current then */
 	bool following;
-	int64_t
-	    routing_fresh_us; /* the peer's configuration was current then */
 	bool behind; /* the peer has a newer configuration */
 	bool fetching; /* the question in progress is for that */
 	bool starting; /* the store is not asked yet */
@@ -90,12 +89,10 @@
 
 /* The store is asked from now on. */
 static void
-end_start(struct pb_follow *f)
+ask_store(struct pb_follow *f)
 {
-	if (!f->starting)
-		return;
 	f->starting = false;
-	schedule(f, FIRST_LIST_US);
+	f->following = false;
 	pb_resume_watch(f->gw->routing_watch);
 	pb_resume_watch(f->gw->instance_watch);
 }
@@ -141,13 +138,8 @@
 	}
 	f->epoch = 0;
 	f->behind = false;
-	schedule(f, RETRY_US);
-	end_start(f);
-	if (!f->following)
-		return;
-	f->following = false;
-	pb_resume_watch(gw->routing_watch);
-	pb_resume_watch(gw->instance_watch);
+	schedule(f, f->listed ? RETRY_US : FIRST_LIST_US);
+	ask_store(f);
 }
 
 /* True while the store turns this router away. */
@@ -201,6 +193,17 @@
 	f->routing_fresh_us = f->sent_us - a->routing_age;
 }
 
+/*
+ * What the store is still to answer is older than what the peer tells from now
+ * on, and would undo it.
+ */
+static void
+pause_watches(struct pb_gateway *gw)
+{
+	pb_pause_watch(gw->routing_watch);
+	pb_pause_watch(gw->instance_watch);
+}
+
 static void
 use_answer(struct pb_follow *f, const struct change_answer *a)
 {
@@ -230,6 +233,8 @@
 		    (long long)(a->instances_age / PB_MSEC));
 	f->following = true;
 	f->starting = false;
+	if (pb_is_following(f))
+		pause_watches(gw);
 	if (f->behind)
 		ask_peer(f);
 	else
@@ -423,7 +428,8 @@
 		return;
 	}
 	if (f->starting) {
-		end_start(f);
+		ask_store(f);
+		schedule(f, FIRST_LIST_US);
 		return;
 	}
 	if (!f->listed) {
@@ -445,8 +451,10 @@
 void
 pb_note_routers_listed(struct pb_follow *follow)
 {
-	if (follow->starting && follow->peer == NULL && !ask_new_peer(follow))
-		end_start(follow);
+	if (!follow->starting || follow->peer != NULL || ask_new_peer(follow))
+		return;
+	ask_store(follow);
+	schedule(follow, FIRST_LIST_US);
 }
 
 struct pb_follow *
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -218,7 +218,6 @@
 	bool lists_after_change;
 	/* Leaves most of a small link to callers after a large answer. */
 	bool spares_link;
-	bool pauses; /* does not ask while the router follows another one */
 	enum pb_store_table table;
 	const char *name;
 	int wait_ms; /* how long the store may hold a question */
@@ -232,6 +231,8 @@
 void pb_drop_watch(struct pb_watch *watch);
 /* True from a failed question to the next answer. */
 bool pb_is_watch_lost(const struct pb_watch *watch);
+/* Gives up the call in progress and asks nothing until it is resumed. */
+void pb_pause_watch(struct pb_watch *watch);
 /* Asks at once if the watch had paused. */
 void pb_resume_watch(struct pb_watch *watch);
 /* Lists everything as soon as possible, paused or not. */
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -194,7 +194,7 @@
 static bool
 is_useful(const struct pb_gateway *gw)
 {
-	if (gw->routing == NULL || gw->instances_fresh_us == 0 ||
+	if (gw->routing == NULL || pb_list_version(gw->registry) == 0 ||
 	    gw->stop_us != 0)
 		return false;
 	if (pb_is_following(gw->follow))
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -320,13 +320,8 @@
 static void
 ask(struct pb_watch *w)
 {
-	w->paused = w->ops->pauses && pb_is_following(w->gw->follow);
-	/* A listing may still be on its way from before a pause. */
-	if (w->call.link != NULL)
-		return;
-	if (w->paused)
-		w->lost_us = 0; /* not known while it does not ask */
-	else
+	w->paused = false;
+	if (w->call.link == NULL)
 		send_question(w);
 }
 
@@ -336,6 +331,19 @@
 	return watch->lost_us != 0;
 }
 
+void
+pb_pause_watch(struct pb_watch *watch)
+{
+	if (watch->paused)
+		return;
+	evtimer_del(watch->timer);
+	pb_cancel_call(&watch->call);
+	watch->after[0] = '\0';
+	watch->must_list = false;
+	watch->lost_us = 0; /* not known while it does not ask */
+	watch->paused = true;
+}
+
 void
 pb_resume_watch(struct pb_watch *watch)
 {
@@ -344,8 +352,9 @@
 	if (watch == NULL || !watch->paused)
 		return;
 	version = watch->ops->known != NULL ? watch->ops->known(watch->gw) : 0;
-	if (version > 0 && !watch->must_list) {
+	if (version > 0) {
 		watch->version = version;
+		watch->must_list = false;
 		watch->at_once = true;
 		watch->listed_us = pb_now(watch->gw->ctx);
 	} else {
