--- a/tests/lib/fleet-lib.sh
+++ b/tests/lib/fleet-lib.sh
@@ -33,7 +33,7 @@
 end_report() {
 	diff "$FLEET_DIR/report" "tests/scripts/$1.expected" >&3 && return
 	cat "$FLEET_DIR/notes" >&3 2>/dev/null
-	tail -n 5 "$FLEET_DIR"/[rg]*.log >&3 2>/dev/null
+	tail -n 5 "$FLEET_DIR"/load-*.log "$FLEET_DIR"/[rg]*.log >&3 2>/dev/null
 	exit 1
 }
 
