Share between routers how attempts at instances ended

Cause: a router of 71 sends an instance a request every few seconds. The share of failed ones was counted from its own requests of two seconds only, so that almost no router ever saw the two failures that make it avoid an instance: while health answers lie, most calls to a failing instance failed. Change: routers tell the one that they ask how their attempts ended, and learn from its answer how those of the whole failure domain did. An instance is avoided when own or shared counts show failures; a cap on the counts lets it come back within six seconds. Test: test-registry, "shared outcomes": six routers with one attempt each. Messages grow by at most 768 bytes each way.

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -24,6 +24,13 @@
 
 #define PB_INSTANCE_TEXT 64
 
+/* Counts of ended attempts at an instance; older ones count less. */
+struct pb_evidence {
+	double failures;
+	double attempts;
+	int64_t counted_us; /* the counts are those of this moment */
+};
+
 /* Counted: the registry and every request that uses it hold a reference. */
 struct pb_instance {
 	int refs;
@@ -46,9 +53,10 @@
 	int64_t reported_us; /* 0: no report yet */
 	bool report_shared; /* another router has passed the report on */
 	int64_t avoid_until_us; /* not reachable lately */
-	double failures; /* decaying count of failed requests */
-	double outcomes; /* decaying count of ended requests */
-	int64_t outcomes_us; /* when the counts were last decayed */
+	struct pb_evidence own; /* attempts of this router */
+	/* Attempts of all routers of the failure domain, as far as known. */
+	struct pb_evidence shared;
+	struct pb_evidence untold; /* own ones that no other router knows */
 	/* Idle connections, owned by the gateway. */
 	struct pb_link *idle;
 	int idle_count;
@@ -143,8 +151,32 @@
  */
 size_t pb_read_reports(const struct pb_registry *registry, int64_t since_us,
     bool own, const struct pb_instance **instances, size_t cap);
+/* An attempt of this router has ended, or is silent for too long. */
 void pb_note_outcome(
     struct pb_context *ctx, struct pb_instance *instance, bool failed);
+
+/* How attempts at one instance ended, as routers tell each other. */
+struct pb_outcomes {
+	uint32_t id_hash; /* low bits of the instance's hash */
+	double failures;
+	double attempts;
+};
+
+/*
+ * Stores own outcomes of up to cap instances that no other router knows yet,
+ * and returns how many; they are told once.
+ */
+size_t pb_take_untold_outcomes(struct pb_context *ctx,
+    struct pb_registry *registry, struct pb_outcomes *outcomes, size_t cap);
+/* Another router's outcomes since it last told of them. */
+void pb_add_shared_outcomes(struct pb_context *ctx,
+    struct pb_registry *registry, const struct pb_outcomes *outcomes);
+/* The shared outcomes of up to cap instances at which some attempts failed. */
+size_t pb_read_shared_outcomes(struct pb_context *ctx,
+    struct pb_registry *registry, struct pb_outcomes *outcomes, size_t cap);
+/* Those of the router that is followed; they replace what was known. */
+void pb_set_shared_outcomes(struct pb_context *ctx,
+    struct pb_registry *registry, const struct pb_outcomes *outcomes);
 /* Keeps new requests away for a while. */
 void pb_note_unreachable(struct pb_context *ctx, struct pb_instance *instance);
 void pb_note_unreachable_for(
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -16,6 +16,7 @@
 
 #define CHANGE_TEXT_MAX 64
 #define LOAD_REPORTS_MAX 64
+#define OUTCOMES_MAX 64
 
 typedef char *change_text;
 
@@ -38,6 +39,13 @@
 };
 typedef struct load_report load_report;
 
+struct outcome_report {
+	u_int id_hash;
+	u_int failures;
+	u_int attempts;
+};
+typedef struct outcome_report outcome_report;
+
 struct change_question {
 	u_quad_t epoch;
 	u_quad_t since;
@@ -48,6 +56,10 @@
 		u_int reports_len;
 		load_report *reports_val;
 	} reports;
+	struct {
+		u_int outcomes_len;
+		outcome_report *outcomes_val;
+	} outcomes;
 };
 typedef struct change_question change_question;
 
@@ -68,6 +80,10 @@
 		u_int reports_len;
 		load_report *reports_val;
 	} reports;
+	struct {
+		u_int outcomes_len;
+		outcome_report *outcomes_val;
+	} outcomes;
 };
 typedef struct change_answer change_answer;
 
@@ -83,6 +99,7 @@
 extern  bool_t xdr_change_text (XDR *, change_text*);
 extern  bool_t xdr_change_entry (XDR *, change_entry*);
 extern  bool_t xdr_load_report (XDR *, load_report*);
+extern  bool_t xdr_outcome_report (XDR *, outcome_report*);
 extern  bool_t xdr_change_question (XDR *, change_question*);
 extern  bool_t xdr_change_answer (XDR *, change_answer*);
 extern  bool_t xdr_router_row (XDR *, router_row*);
@@ -91,6 +108,7 @@
 extern bool_t xdr_change_text ();
 extern bool_t xdr_change_entry ();
 extern bool_t xdr_load_report ();
+extern bool_t xdr_outcome_report ();
 extern bool_t xdr_change_question ();
 extern bool_t xdr_change_answer ();
 extern bool_t xdr_router_row ();
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -6,6 +6,7 @@
 
 const CHANGE_TEXT_MAX = 64;	/* bytes */
 const LOAD_REPORTS_MAX = 64;	/* of one message: 768 bytes */
+const OUTCOMES_MAX = 64;	/* the same */
 
 typedef string change_text<CHANGE_TEXT_MAX>;
 
@@ -28,6 +29,13 @@
 	unsigned int age_ms;	/* milliseconds */
 };
 
+/* How attempts at an instance ended; older ones count less. */
+struct outcome_report {
+	unsigned int id_hash;	/* low bits of the hash of its id */
+	unsigned int failures;	/* hundredths of an attempt */
+	unsigned int attempts;	/* the same */
+};
+
 /* What has changed since? */
 struct change_question {
 	unsigned hyper epoch;
@@ -36,6 +44,7 @@
 	hyper list_row;		/* the same of the list of instances; 0: none */
 	hyper reports_since;	/* clock of the last answer; 0: none yet */
 	load_report reports<LOAD_REPORTS_MAX>; /* seen since the last question */
+	outcome_report outcomes<OUTCOMES_MAX>; /* the same */
 };
 
 struct change_answer {
@@ -53,6 +62,7 @@
 	change_entry entries<>;
 	hyper clock;		/* of the answering process, microseconds */
 	load_report reports<LOAD_REPORTS_MAX>; /* newer than reports_since */
+	outcome_report outcomes<OUTCOMES_MAX>; /* of all routers that ask */
 };
 
 /* Value of a router's row in the store. */
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -53,6 +53,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_outcome_report (XDR *xdrs, outcome_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->id_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failures))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempts))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_change_question (XDR *xdrs, change_question *objp)
 {
@@ -71,6 +85,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, LOAD_REPORTS_MAX,
 		sizeof (load_report), (xdrproc_t) xdr_load_report))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->outcomes.outcomes_val, (u_int *) &objp->outcomes.outcomes_len, OUTCOMES_MAX,
+		sizeof (outcome_report), (xdrproc_t) xdr_outcome_report))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -101,6 +118,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, LOAD_REPORTS_MAX,
 		sizeof (load_report), (xdrproc_t) xdr_load_report))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->outcomes.outcomes_val, (u_int *) &objp->outcomes.outcomes_len, OUTCOMES_MAX,
+		sizeof (outcome_report), (xdrproc_t) xdr_outcome_report))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -28,7 +28,7 @@
 #define ASK_PAUSE_US (50 * PB_MSEC)
 #define NO_PEER_RETRY_US (2 * PB_SEC)
 /* Bytes of one question with all its reports. */
-#define QUESTION_MAX (LOAD_REPORTS_MAX * 12 + 64)
+#define QUESTION_MAX ((LOAD_REPORTS_MAX + OUTCOMES_MAX) * 12 + 64)
 /*
  * A router that cannot help is left alone for this long; one that does not
  * answer again and again, up to 64 times as long, since the rows of routers
@@ -183,6 +183,7 @@
 		pb_end_listing(gw->ctx, gw->registry);
 	pb_note_list_version(gw->registry, a->list_row);
 	pb_apply_reports(gw, a->reports.reports_val, a->reports.reports_len);
+	pb_set_outcomes(gw, a->outcomes.outcomes_val, a->outcomes.outcomes_len);
 	f->reports_since = a->clock;
 	f->epoch = a->epoch;
 	f->since = a->sequence;
@@ -341,12 +342,14 @@
 append_question(struct pb_follow *f, struct pb_buf *buf)
 {
 	struct load_report reports[LOAD_REPORTS_MAX];
+	struct outcome_report outcomes[OUTCOMES_MAX];
 	struct change_question q = {.epoch = f->epoch,
 	    .since = f->since,
 	    .routing_row = f->gw->routing_row,
 	    .list_row = pb_list_version(f->gw->registry),
 	    .reports_since = f->reports_since,
-	    .reports = {0, reports}};
+	    .reports = {0, reports},
+	    .outcomes = {0, outcomes}};
 	char body[QUESTION_MAX];
 	XDR xdr;
 	u_int n = 0;
@@ -358,6 +361,7 @@
 		    f->peer->address);
 	pb_fill_reports(
 	    f->gw, f->reported_us, true, reports, &q.reports.reports_len);
+	q.outcomes.outcomes_len = pb_fill_untold_outcomes(f->gw, outcomes);
 	f->reported_us = f->sent_us;
 	xdrmem_create(&xdr, body, sizeof(body), XDR_ENCODE);
 	if (xdr_change_question(&xdr, &q))
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -298,14 +298,28 @@
 #define PB_CHANGES_PATH "/changes"
 #define PB_ROUTING_PATH "/routing"
 extern const struct pb_conn_ops pb_peer_ops;
-/* Reports of load for another router, and from one. */
+/* Answers held questions that have an answer now or were held for long. */
+void pb_answer_held(struct pb_gateway *gw);
+
+/* gateway-reports.c: what routers tell each other of the instances. */
 struct load_report;
+struct outcome_report;
+/* Reports of load for another router, and from one. */
 void pb_fill_reports(struct pb_gateway *gw, int64_t since_us, bool own,
     struct load_report *reports, unsigned int *count);
 void pb_apply_reports(struct pb_gateway *gw, const struct load_report *reports,
     unsigned int count);
-/* Answers held questions that have an answer now or were held for long. */
-void pb_answer_held(struct pb_gateway *gw);
+/* Up to OUTCOMES_MAX reports: own outcomes, told once, and shared ones. */
+unsigned int pb_fill_untold_outcomes(
+    struct pb_gateway *gw, struct outcome_report *reports);
+unsigned int pb_fill_shared_outcomes(
+    struct pb_gateway *gw, struct outcome_report *reports);
+/* Of a router that asks: they are added to the shared ones. */
+void pb_add_outcomes(struct pb_gateway *gw,
+    const struct outcome_report *reports, unsigned int count);
+/* Of the router that is followed: they replace the shared ones. */
+void pb_set_outcomes(struct pb_gateway *gw,
+    const struct outcome_report *reports, unsigned int count);
 
 /* gateway-exchange.c: one request and its attempts at upstreams. */
 
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -9,39 +9,6 @@
 /* A router with a newer list than the own one waits this long for it. */
 #define CATCH_UP_US (900 * PB_MSEC)
 
-void
-pb_fill_reports(struct pb_gateway *gw, int64_t since_us, bool own,
-    struct load_report *reports, u_int *count)
-{
-	const struct pb_instance *instances[LOAD_REPORTS_MAX];
-	size_t i,
-	    n = pb_read_reports(
-		gw->registry, since_us, own, instances, LOAD_REPORTS_MAX);
-
-	for (i = 0; i < n; i++) {
-		const struct pb_instance *inst = instances[i];
-		int64_t age = pb_now(gw->ctx) - inst->reported_us;
-
-		reports[i].id_hash = (uint32_t)inst->hash;
-		reports[i].requests = (u_int)inst->reported;
-		reports[i].age_ms = (u_int)(age / PB_MSEC);
-	}
-	*count = (u_int)n;
-}
-
-void
-pb_apply_reports(
-    struct pb_gateway *gw, const struct load_report *reports, u_int count)
-{
-	int64_t now = pb_now(gw->ctx);
-	u_int i;
-
-	for (i = 0; i < count; i++)
-		pb_note_shared_load(gw->registry, reports[i].id_hash,
-		    (int)reports[i].requests,
-		    now - reports[i].age_ms * PB_MSEC);
-}
-
 static void
 free_question(struct change_question *q)
 {
@@ -127,6 +94,7 @@
 	struct change_answer answer = {0};
 	uint64_t since;
 	struct load_report reports[LOAD_REPORTS_MAX];
+	struct outcome_report outcomes[OUTCOMES_MAX];
 	struct pb_change *changes;
 	size_t i, n;
 	int rc;
@@ -142,6 +110,8 @@
 	answer.reports.reports_val = reports;
 	pb_fill_reports(
 	    gw, q->reports_since, false, reports, &answer.reports.reports_len);
+	answer.outcomes.outcomes_val = outcomes;
+	answer.outcomes.outcomes_len = pb_fill_shared_outcomes(gw, outcomes);
 	n = pb_read_changes(gw->registry, since, answer.full, NULL, 0);
 	changes = calloc(n + 1, sizeof(*changes));
 	answer.entries.entries_val =
@@ -253,6 +223,7 @@
 	}
 	conn->held_us = pb_now(gw->ctx);
 	pb_apply_reports(gw, q.reports.reports_val, q.reports.reports_len);
+	pb_add_outcomes(gw, q.outcomes.outcomes_val, q.outcomes.outcomes_len);
 	if (has_news(gw, &q))
 		answer_question(conn, &q);
 	free_question(&q);
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -13,10 +13,6 @@
 #define REPORT_FADE_US (4 * PB_SEC)
 /* An instance that joined this recently may hold no prefix yet. */
 #define JOINED_US (10 * PB_SEC)
-/* Share of failed requests above which an instance is avoided. */
-#define FAILURE_SHARE 0.35
-/* Decayed failures below which the share says too little. */
-#define FAILURES_MIN 2.0
 
 /* Requests on an instance: its report, corrected by this router's own. */
 static double
@@ -47,15 +43,6 @@
 	return false;
 }
 
-static bool
-is_failing(const struct pb_instance *inst, int64_t now)
-{
-	double keep = pb_outcome_weight(now - inst->outcomes_us);
-
-	return inst->failures * keep >= FAILURES_MIN &&
-	    inst->failures > FAILURE_SHARE * inst->outcomes;
-}
-
 static bool
 is_open(const struct pb_placement *p, const struct pb_instance *inst)
 {
@@ -74,7 +61,7 @@
 {
 	if (demand != DEMAND_ANY && now < inst->avoid_until_us)
 		return false;
-	return demand != DEMAND_SOUND || !is_failing(inst, now);
+	return demand != DEMAND_SOUND || !pb_is_failing(inst, now);
 }
 
 struct survey {
--- /dev/null
+++ b/source/registry/registry-health.c
@@ -0,0 +1,144 @@
+#include "registry-internal.h"
+
+#include <math.h>
+
+/* Counts of attempts lose half of their weight in this time. */
+#define OUTCOME_HALF_LIFE_US (2 * PB_SEC)
+/* Share of failed attempts above which an instance is avoided. */
+#define FAILURE_SHARE 0.35
+/* Decayed failures below which the share says too little. */
+#define FAILURES_MIN 2.0
+/* An instance that is well again gets work within three half-lives. */
+#define FAILURES_MAX 16.0
+/* Fewer failures than this are not worth a place in a message. */
+#define FAILURES_TOLD 0.25
+
+static void
+decay_evidence(struct pb_evidence *e, int64_t now)
+{
+	double keep =
+	    exp2(-(double)(now - e->counted_us) / (double)OUTCOME_HALF_LIFE_US);
+
+	e->failures *= keep;
+	e->attempts *= keep;
+	e->counted_us = now;
+}
+
+static void
+add_evidence(
+    struct pb_evidence *e, double failures, double attempts, int64_t now)
+{
+	decay_evidence(e, now);
+	e->failures += failures;
+	e->attempts += attempts;
+	if (e->failures > FAILURES_MAX) {
+		e->attempts *= FAILURES_MAX / e->failures;
+		e->failures = FAILURES_MAX;
+	}
+}
+
+void
+pb_note_outcome(
+    struct pb_context *ctx, struct pb_instance *instance, bool failed)
+{
+	int64_t now = pb_now(ctx);
+	double failures = failed ? 1 : 0;
+
+	add_evidence(&instance->own, failures, 1, now);
+	add_evidence(&instance->shared, failures, 1, now);
+	add_evidence(&instance->untold, failures, 1, now);
+}
+
+static bool
+shows_failure(struct pb_evidence e, int64_t now)
+{
+	decay_evidence(&e, now);
+	return e.failures >= FAILURES_MIN &&
+	    e.failures > FAILURE_SHARE * e.attempts;
+}
+
+bool
+pb_is_failing(const struct pb_instance *instance, int64_t now)
+{
+	return shows_failure(instance->own, now) ||
+	    shows_failure(instance->shared, now);
+}
+
+size_t
+pb_take_untold_outcomes(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_outcomes *outcomes, size_t cap)
+{
+	int64_t now = pb_now(ctx);
+	size_t i, n = 0;
+
+	for (i = 0; i < registry->count && n < cap; i++) {
+		struct pb_instance *inst = registry->instances[i];
+
+		if (inst->untold.attempts == 0)
+			continue;
+		decay_evidence(&inst->untold, now);
+		outcomes[n].id_hash = (uint32_t)inst->hash;
+		outcomes[n].failures = inst->untold.failures;
+		outcomes[n].attempts = inst->untold.attempts;
+		inst->untold = (struct pb_evidence){0};
+		n++;
+	}
+	return n;
+}
+
+size_t
+pb_read_shared_outcomes(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_outcomes *outcomes, size_t cap)
+{
+	int64_t now = pb_now(ctx);
+	size_t i, n = 0;
+
+	for (i = 0; i < registry->count && n < cap; i++) {
+		struct pb_evidence e = registry->instances[i]->shared;
+
+		decay_evidence(&e, now);
+		if (e.failures < FAILURES_TOLD)
+			continue;
+		outcomes[n].id_hash = (uint32_t)registry->instances[i]->hash;
+		outcomes[n].failures = e.failures;
+		outcomes[n].attempts = e.attempts;
+		n++;
+	}
+	return n;
+}
+
+static struct pb_instance *
+find_by_hash(struct pb_registry *registry, uint32_t id_hash)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		if ((uint32_t)registry->instances[i]->hash == id_hash)
+			return registry->instances[i];
+	}
+	return NULL;
+}
+
+void
+pb_add_shared_outcomes(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_outcomes *outcomes)
+{
+	struct pb_instance *inst = find_by_hash(registry, outcomes->id_hash);
+
+	if (inst != NULL)
+		add_evidence(&inst->shared, outcomes->failures,
+		    outcomes->attempts, pb_now(ctx));
+}
+
+void
+pb_set_shared_outcomes(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_outcomes *outcomes)
+{
+	struct pb_instance *inst = find_by_hash(registry, outcomes->id_hash);
+
+	if (inst == NULL)
+		return;
+	inst->shared = (struct pb_evidence){0};
+	add_evidence(
+	    &inst->shared, outcomes->failures, outcomes->attempts, pb_now(ctx));
+}
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -36,8 +36,8 @@
 	int64_t list_version;
 };
 
-/* What an outcome of that age still counts. */
-double pb_outcome_weight(int64_t age_us);
+/* True if this router or its failure domain has seen too many failures. */
+bool pb_is_failing(const struct pb_instance *instance, int64_t now);
 /* Remembers a removal for followers. */
 void pb_note_departure(struct pb_registry *registry, const char *id);
 
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -209,6 +209,68 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/* Passes outcomes on as a router that asks and the one that is asked do. */
+static void
+tell_outcomes(struct pb_registry *asking, struct pb_registry *asked)
+{
+	struct pb_outcomes told[8];
+	size_t i, n = pb_take_untold_outcomes(ctx, asking, told, 8);
+
+	for (i = 0; i < n; i++)
+		pb_add_shared_outcomes(ctx, asked, &told[i]);
+	n = pb_read_shared_outcomes(ctx, asked, told, 8);
+	for (i = 0; i < n; i++)
+		pb_set_shared_outcomes(ctx, asking, &told[i]);
+}
+
+static int
+count_choices(struct pb_registry *reg, const char *id)
+{
+	struct pb_instance *inst = pb_find_instance(reg, pb_str_from(id));
+	int i, n = 0;
+
+	for (i = 0; i < 60; i++)
+		n += choose(reg, "b", 0) == inst;
+	return n;
+}
+
+/*
+ * Guards against routers that each send some requests to an instance that
+ * fails them, since none of them sees enough failures by itself.
+ */
+static void
+test_shared_outcomes(void)
+{
+	struct pb_registry *asked = new_fleet(3);
+	struct pb_registry *asking[6];
+	struct pb_outcomes told;
+	int i;
+
+	for (i = 0; i < 6; i++) {
+		asking[i] = new_fleet(3);
+		pb_note_outcome(
+		    ctx, pb_find_instance(asking[i], pb_str_from("i1")), i < 4);
+		pb_note_outcome(
+		    ctx, pb_find_instance(asking[i], pb_str_from("i0")), false);
+		tell_outcomes(asking[i], asked);
+	}
+	CU_ASSERT_EQUAL(count_choices(asked, "i1"), 0);
+	CU_ASSERT(count_choices(asking[0], "i1") > 0);
+	for (i = 0; i < 6; i++) {
+		tell_outcomes(asking[i], asked);
+		CU_ASSERT_EQUAL(count_choices(asking[i], "i1"), 0);
+		CU_ASSERT(count_choices(asking[i], "i0") > 0);
+	}
+	/* Nothing is told twice, and an instance that is well comes back. */
+	CU_ASSERT_EQUAL(pb_take_untold_outcomes(ctx, asking[0], &told, 1), 0);
+	pb_advance_clock(&clk, 8 * PB_SEC);
+	for (i = 0; i < 6; i++) {
+		CU_ASSERT(count_choices(asking[i], "i1") > 0);
+		pb_drop_registry(ctx, asking[i]);
+	}
+	pb_drop_registry(ctx, asked);
+}
+
 /* Guards against requests to an instance that leaves or cannot be reached. */
 static void
 test_leaving(void)
@@ -410,6 +472,7 @@
 	    {"prefix holder", test_prefix_holder},
 	    {"shared load", test_shared_load},
 	    {"failing instance", test_failing_instance},
+	    {"shared outcomes", test_shared_outcomes},
 	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
 	    {"restart", test_restart}, {"changes", test_changes},
 	    {"heartbeats", test_heartbeats}, {"versions", test_versions},
