Count an attempt that stays silent against its instance; log who is avoided

Cause: a call that may not be repeated waits for its answer until its timeout, and only its end counted. A hanging instance therefore got new calls for seconds, and calls whose callers left never counted at all. Change: an attempt without any answer for three times its objective counts as a failure at once, while its answer is still waited for. One line tells when an instance begins to be avoided and when it is known to be well, with the counts. Ruled out: leaving the silent attempt, since the request may have run. Test: gateway-health.sh; on the code before, the two last lines are missing.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -105,6 +105,7 @@
 	pb_release_instance(x);
 	x->answer.len = 0;
 	x->spoiled = false;
+	x->silence_noted = false;
 	if (x->tried_count == PB_TRIED_MAX ||
 	    x->deadline_us - pb_now(gw->ctx) < ATTEMPT_MIN_US) {
 		give_up(x, "no attempt left");
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -5,8 +5,10 @@
 
 /* A connection that is not open by then is given up. */
 #define CONNECT_LIMIT_US (400 * PB_MSEC)
-/* An idempotent call without an answer for this multiple of its objective is
- * sent to another instance. */
+/*
+ * An attempt without an answer for this multiple of its objective counts
+ * against its instance; an idempotent call is then sent to another one.
+ */
 #define STALL_FACTOR 3
 #define STALL_MIN_US (300 * PB_MSEC)
 /* A resumable stream that is silent for this long goes on elsewhere: callers
@@ -121,26 +123,40 @@
 		pb_reply_conn(conn, status, PB_STR_NONE, PB_STR_NONE);
 }
 
+/* True if an attempt that is silent for too long is given up for another. */
+static bool
+leaves_silent_attempt(const struct pb_exchange *x)
+{
+	return x->route->kind == PB_ROUTE_IDEMPOTENT ||
+	    (x->route->kind == PB_ROUTE_STREAMING && x->route->resumable);
+}
+
+/* When the attempt in progress has been silent for too long. */
+static int64_t
+find_stall(const struct pb_exchange *x)
+{
+	int64_t limit = x->route->target_us * STALL_FACTOR;
+
+	if (!x->call.link->connected)
+		return x->attempt_us + CONNECT_LIMIT_US;
+	if (x->route->kind == PB_ROUTE_STREAMING && x->route->resumable)
+		return x->progress_us + STREAM_SILENCE_US;
+	if (!leaves_silent_attempt(x) &&
+	    (x->silence_noted || x->progress_us > x->attempt_us))
+		return INT64_MAX;
+	return x->attempt_us + (limit > STALL_MIN_US ? limit : STALL_MIN_US);
+}
+
 /* The earliest moment at which the timer has something to do. */
 static int64_t
 next_check(const struct pb_exchange *x)
 {
-	int64_t at = x->deadline_us;
-	int64_t stall = INT64_MAX;
+	int64_t stall;
 
 	if (x->call.link == NULL)
-		return at;
-	if (!x->call.link->connected)
-		stall = x->attempt_us + CONNECT_LIMIT_US;
-	else if (x->route->kind == PB_ROUTE_STREAMING && x->route->resumable)
-		stall = x->progress_us + STREAM_SILENCE_US;
-	else if (x->route->kind == PB_ROUTE_IDEMPOTENT) {
-		int64_t limit = x->route->target_us * STALL_FACTOR;
-
-		stall = x->attempt_us +
-		    (limit > STALL_MIN_US ? limit : STALL_MIN_US);
-	}
-	return stall < at ? stall : at;
+		return x->deadline_us;
+	stall = find_stall(x);
+	return stall < x->deadline_us ? stall : x->deadline_us;
 }
 
 void
@@ -193,6 +209,23 @@
 	pb_next_attempt(x);
 }
 
+/*
+ * The request may not run twice, so its answer is still waited for; later
+ * requests can avoid the instance.
+ */
+static void
+note_silence(struct pb_exchange *x)
+{
+	struct pb_gateway *gw = x->gw;
+
+	x->silence_noted = true;
+	pb_log(gw->ctx, PB_WARN, "attempt silent", x->instance->id, x->log_id,
+	    "no answer after %lld ms; still waiting",
+	    (long long)((pb_now(gw->ctx) - x->attempt_us) / PB_MSEC));
+	pb_note_outcome(gw->ctx, x->instance, true);
+	pb_arm_exchange(x);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -204,6 +237,9 @@
 	(void)what;
 	if (now >= x->deadline_us)
 		expire_exchange(x);
+	else if (now >= at && x->call.link->connected &&
+	    !leaves_silent_attempt(x))
+		note_silence(x);
 	else if (now >= at)
 		leave_stalled_attempt(x);
 	else
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -352,6 +352,7 @@
 	size_t tried_count;
 	int attempts; /* that an upstream may have run */
 	bool on_kept_link; /* the attempt in progress uses an idle connection */
+	bool silence_noted; /* the attempt counts as failed while it goes on */
 	bool may_have_run;
 	bool repeatable; /* may run more than once */
 	/* The answer. */
--- a/source/registry/registry-health.c
+++ b/source/registry/registry-health.c
@@ -37,18 +37,6 @@
 	}
 }
 
-void
-pb_note_outcome(
-    struct pb_context *ctx, struct pb_instance *instance, bool failed)
-{
-	int64_t now = pb_now(ctx);
-	double failures = failed ? 1 : 0;
-
-	add_evidence(&instance->own, failures, 1, now);
-	add_evidence(&instance->shared, failures, 1, now);
-	add_evidence(&instance->untold, failures, 1, now);
-}
-
 static bool
 shows_failure(struct pb_evidence e, int64_t now)
 {
@@ -64,6 +52,39 @@
 	    shows_failure(instance->shared, now);
 }
 
+/* Logs when an instance begins to fail, and when it is known to be well. */
+static void
+note_health(struct pb_context *ctx, struct pb_instance *inst)
+{
+	int64_t now = pb_now(ctx);
+	bool failing = pb_is_failing(inst, now);
+
+	if (failing == inst->failing)
+		return;
+	inst->failing = failing;
+	decay_evidence(&inst->own, now);
+	decay_evidence(&inst->shared, now);
+	pb_log(ctx, failing ? PB_WARN : PB_INFO, "judge instance", inst->id,
+	    NULL,
+	    "%s: %.1f of %.1f own attempts failed, %.1f of %.1f of all routers "
+	    "of the domain",
+	    failing ? "avoided" : "no longer avoided", inst->own.failures,
+	    inst->own.attempts, inst->shared.failures, inst->shared.attempts);
+}
+
+void
+pb_note_outcome(
+    struct pb_context *ctx, struct pb_instance *instance, bool failed)
+{
+	int64_t now = pb_now(ctx);
+	double failures = failed ? 1 : 0;
+
+	add_evidence(&instance->own, failures, 1, now);
+	add_evidence(&instance->shared, failures, 1, now);
+	add_evidence(&instance->untold, failures, 1, now);
+	note_health(ctx, instance);
+}
+
 size_t
 pb_take_untold_outcomes(struct pb_context *ctx, struct pb_registry *registry,
     struct pb_outcomes *outcomes, size_t cap)
@@ -125,9 +146,11 @@
 {
 	struct pb_instance *inst = find_by_hash(registry, outcomes->id_hash);
 
-	if (inst != NULL)
-		add_evidence(&inst->shared, outcomes->failures,
-		    outcomes->attempts, pb_now(ctx));
+	if (inst == NULL)
+		return;
+	add_evidence(
+	    &inst->shared, outcomes->failures, outcomes->attempts, pb_now(ctx));
+	note_health(ctx, inst);
 }
 
 void
@@ -141,4 +164,5 @@
 	inst->shared = (struct pb_evidence){0};
 	add_evidence(
 	    &inst->shared, outcomes->failures, outcomes->attempts, pb_now(ctx));
+	note_health(ctx, inst);
 }
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -2,9 +2,9 @@
  * Stand-in for an upstream as the platform's protocol describes it, with its
  * faults. For tests.
  *
- *   pb-backend PORT ID
+ *   pb-backend PORT ID [ACTION]
  *
- * The last part of the path names what it does:
+ * ACTION, or else the last part of the path, names what it does:
  *   ok        answers after WORK ms (query "work=MS")
  *   error     answers 500 with a digest
  *   full      answers 503, not run
@@ -45,6 +45,7 @@
 struct backend {
 	struct event_base *base;
 	const char *id;
+	const char *action; /* for every request; NULL: the path names it */
 	struct run runs[RUNS_MAX];
 	size_t run_count;
 	int running;
@@ -341,6 +342,8 @@
 	slash = strrchr(target, '/');
 	pb_copy_str(
 	    c->action, sizeof(c->action), slash != NULL ? slash + 1 : "");
+	if (c->backend->action != NULL)
+		pb_copy_str(c->action, sizeof(c->action), c->backend->action);
 	copy_field(
 	    h, "X-Poplarbeam-Attempt-Id", c->request_id, sizeof(c->request_id));
 	if (is_misdirected(c, h)) {
@@ -434,13 +437,14 @@
 	struct sockaddr_in addr = {.sin_family = AF_INET};
 	struct evconnlistener *listener;
 
-	if (argc != 3 || b == NULL) {
-		fprintf(stderr, "usage: pb-backend PORT ID\n");
+	if (argc < 3 || argc > 4 || b == NULL) {
+		fprintf(stderr, "usage: pb-backend PORT ID [ACTION]\n");
 		free(b);
 		return 2;
 	}
 	b->base = event_base_new();
 	b->id = argv[2];
+	b->action = argv[3];
 	addr.sin_port = htons((uint16_t)atoi(argv[1]));
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	listener = evconnlistener_new_bind(b->base, on_accept, b,
--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -61,9 +61,9 @@
 	    "$store_url/control/rows/servers"
 }
 
-# start_backend N SERVICE
+# start_backend N SERVICE [ACTION]
 start_backend() {
-	launch "b$1" "$FLEET_BIN/pb-backend" "$(backend_port "$1")" "b$1"
+	launch "b$1" "$FLEET_BIN/pb-backend" "$(backend_port "$1")" "b$1" $3
 	announce_backend "$1" "$2"
 }
 
--- /dev/null
+++ b/tests/scripts/gateway-health.sh
@@ -0,0 +1,62 @@
+# Instances that fail or hang although they are listed as ready. Guards against
+# calls that one router after the other, or one caller after the other, loses
+# at the same instance.
+cd "$(dirname "$0")/../.." || exit 2
+. tests/lib/gateway-lib.sh
+begin_report
+
+start_store
+start_backend 1 app error
+for n in 2 3 4; do start_backend $n app; done
+apply_config 1
+for n in 1 2 3; do start_gateway $n; done
+for n in 1 2 3; do wait_gateway $n; done
+followed() { grep -h 'followed instead' "$FLEET_DIR"/g?.out; }
+two_follow() { [ "$(followed | wc -l)" -ge 2 ]; }
+await 15 two_follow && echo "two routers follow"
+
+# call ROUTER ID [QUERY]: prints the status.
+call() {
+	curl -s -m 10 -o /dev/null -w '%{http_code}\n' \
+	    -H "Host: $route_host" -H "X-Poplarbeam-Attempt-Id: $2" \
+	    -H "Authorization: Bearer $account_key" \
+	    "$(gateway_url "$1")/once/ok$3"
+}
+for n in $(seq 16); do call 1 "first-$n"; done | grep -q 500 &&
+    echo "calls of one router failed"
+all_avoid() {
+	local n
+	for n in 1 2 3; do
+		grep '"peer":"b1","text":"avoided' "$FLEET_DIR/g$n.out" || return 1
+	done
+}
+await 3 all_avoid && echo "all routers avoid the instance"
+for n in 2 3; do
+	grep -h '"peer":"b1","text":"avoided' "$FLEET_DIR/g$n.out" |
+	    grep -o '[0-9.]* of [0-9.]* own attempts'
+done
+
+# Eight callers, each with one call after the other. Those that meet the
+# hanging instance wait for three seconds; no later call may follow them.
+kill -KILL "$(pid_of b1)"
+start_backend 1 app hang
+sleep 8
+call_for() {
+	local end=$(($(now_ms) + $1)) i=0
+	while [ "$(now_ms)" -lt "$end" ]; do
+		i=$((i + 1))
+		call 1 "hung-$2-$i" "?work=60"
+	done >"$FLEET_DIR/codes$2"
+}
+callers=
+for n in $(seq 8); do
+	call_for 4000 "$n" &
+	callers="$callers $!"
+done
+wait $callers
+hung=$(cat "$FLEET_DIR"/codes? | grep -c 504)
+[ "$hung" -gt 0 ] && echo "calls hung"
+[ "$hung" -le 8 ] || echo "$hung of them, more than callers"
+[ "$(grep -c '"peer":"b1","text":"avoided' "$FLEET_DIR/g1.out")" -ge 2 ] &&
+    echo "the hanging instance is avoided before its calls have ended"
+end_report gateway-health
