Bring requests back to an instance slowly after it has failed

Cause: the counts of failures fade in seconds, and then all routers of a domain came back at once to an instance that still failed: each time, the calls of about 0.6 s were lost until the routers had told each other. Change: after its last failure, an instance is on trial for six seconds, or until most attempts succeed. Only a tenth of the requests may go to instances on trial, unless too few others are well. Ruled out: fading more slowly, which keeps requests from an instance that is well again for as long. Test: test-registry, "trial".

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -57,7 +57,8 @@
 	/* Attempts of all routers of the failure domain, as far as known. */
 	struct pb_evidence shared;
 	struct pb_evidence untold; /* own ones that no other router knows */
-	bool failing; /* by the evidence, when it was last added to */
+	bool failing; /* by its evidence, and not known to be well since */
+	int64_t failed_us; /* when the evidence last showed that */
 	/* Idle connections, owned by the gateway. */
 	struct pb_link *idle;
 	int idle_count;
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -13,6 +13,11 @@
 #define REPORT_FADE_US (4 * PB_SEC)
 /* An instance that joined this recently may hold no prefix yet. */
 #define JOINED_US (10 * PB_SEC)
+/*
+ * Share of the requests that may go to instances on trial: when all routers
+ * came back to one at once, many calls would be lost before they know better.
+ */
+#define TRIAL_SHARE 0.1
 
 /* Requests on an instance: its report, corrected by this router's own. */
 static double
@@ -51,7 +56,8 @@
 
 /* How much of an instance's health is asked for. */
 enum demand {
-	DEMAND_SOUND, /* reachable and not failing */
+	DEMAND_SOUND, /* reachable, neither failing nor on trial */
+	DEMAND_TRIAL, /* reachable and not failing */
 	DEMAND_REACHABLE,
 	DEMAND_ANY
 };
@@ -61,12 +67,15 @@
 {
 	if (demand != DEMAND_ANY && now < inst->avoid_until_us)
 		return false;
-	return demand != DEMAND_SOUND || !pb_is_failing(inst, now);
+	if (demand == DEMAND_SOUND && pb_is_on_trial(inst, now))
+		return false;
+	return demand > DEMAND_TRIAL || !pb_is_failing(inst, now);
 }
 
 struct survey {
 	size_t open;
 	size_t sound;
+	size_t not_failing;
 	size_t reachable;
 	double sum; /* of the open instances' loads */
 };
@@ -88,6 +97,7 @@
 		if (is_excluded(p, inst))
 			continue;
 		s.sound += meets(inst, DEMAND_SOUND, now);
+		s.not_failing += meets(inst, DEMAND_TRIAL, now);
 		s.reachable += meets(inst, DEMAND_REACHABLE, now);
 	}
 	return s;
@@ -95,10 +105,15 @@
 
 /* When most instances fail, avoiding them would only overload the rest. */
 static enum demand
-pick_demand(const struct survey *s)
+pick_demand(const struct survey *s, struct pb_random *rnd)
 {
-	if (s->sound > 0 && s->sound * 2 >= s->open)
+	bool trial =
+	    s->sound < s->not_failing && pb_next_unit(rnd) < TRIAL_SHARE;
+
+	if (!trial && s->sound > 0 && s->sound * 2 >= s->open)
 		return DEMAND_SOUND;
+	if (s->not_failing > 0 && s->not_failing * 2 >= s->open)
+		return DEMAND_TRIAL;
 	return s->reachable > 0 ? DEMAND_REACHABLE : DEMAND_ANY;
 }
 
@@ -200,7 +215,7 @@
 	struct survey s = survey_service(registry, placement, now);
 	double mean = s.open > 0 ? s.sum / (double)s.open : 0;
 	double bound = AFFINITY_FACTOR * mean + AFFINITY_FLOOR;
-	enum demand demand = pick_demand(&s);
+	enum demand demand = pick_demand(&s, placement->rnd);
 	struct pb_instance *inst = NULL;
 
 	if (placement->affinity != 0)
--- a/source/registry/registry-health.c
+++ b/source/registry/registry-health.c
@@ -10,6 +10,8 @@
 #define FAILURES_MIN 2.0
 /* An instance that is well again gets work within three half-lives. */
 #define FAILURES_MAX 16.0
+/* After its last failure, an instance gets few requests for this long. */
+#define TRIAL_US (6 * PB_SEC)
 /* Fewer failures than this are not worth a place in a message. */
 #define FAILURES_TOLD 0.25
 
@@ -37,12 +39,17 @@
 	}
 }
 
+static bool
+fails_mostly(const struct pb_evidence *e)
+{
+	return e->failures > FAILURE_SHARE * e->attempts;
+}
+
 static bool
 shows_failure(struct pb_evidence e, int64_t now)
 {
 	decay_evidence(&e, now);
-	return e.failures >= FAILURES_MIN &&
-	    e.failures > FAILURE_SHARE * e.attempts;
+	return e.failures >= FAILURES_MIN && fails_mostly(&e);
 }
 
 bool
@@ -52,13 +59,27 @@
 	    shows_failure(instance->shared, now);
 }
 
-/* Logs when an instance begins to fail, and when it is known to be well. */
+bool
+pb_is_on_trial(const struct pb_instance *instance, int64_t now)
+{
+	return instance->failing && now - instance->failed_us < TRIAL_US;
+}
+
+/*
+ * Judges the instance after a change of its evidence. One that failed stays on
+ * trial until most attempts succeed, or nothing was heard of it for long.
+ */
 static void
 note_health(struct pb_context *ctx, struct pb_instance *inst)
 {
 	int64_t now = pb_now(ctx);
 	bool failing = pb_is_failing(inst, now);
 
+	if (failing)
+		inst->failed_us = now;
+	else if (pb_is_on_trial(inst, now) &&
+	    (fails_mostly(&inst->own) || fails_mostly(&inst->shared)))
+		return;
 	if (failing == inst->failing)
 		return;
 	inst->failing = failing;
@@ -82,6 +103,8 @@
 	add_evidence(&instance->own, failures, 1, now);
 	add_evidence(&instance->shared, failures, 1, now);
 	add_evidence(&instance->untold, failures, 1, now);
+	if (failed && pb_is_on_trial(instance, now))
+		instance->failed_us = now;
 	note_health(ctx, instance);
 }
 
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -38,6 +38,8 @@
 
 /* True if this router or its failure domain has seen too many failures. */
 bool pb_is_failing(const struct pb_instance *instance, int64_t now);
+/* True if it failed lately and is not known to be well. */
+bool pb_is_on_trial(const struct pb_instance *instance, int64_t now);
 /* Remembers a removal for followers. */
 void pb_note_departure(struct pb_registry *registry, const char *id);
 
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -209,6 +209,42 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/*
+ * Guards against routers that all come back at once to an instance that still
+ * fails, and against one that is avoided although it is well again.
+ */
+static void
+test_trial(void)
+{
+	struct pb_registry *reg = new_fleet(3);
+	struct pb_instance *bad = pb_find_instance(reg, pb_str_from("i1"));
+	int i, chosen = 0;
+
+	for (i = 0; i < 4; i++)
+		pb_note_outcome(ctx, bad, true);
+	/* Too few failures count now, and nothing shows that it is well. */
+	pb_advance_clock(&clk, 4 * PB_SEC);
+	for (i = 0; i < 600; i++)
+		chosen += choose(reg, "b", 0) == bad;
+	CU_ASSERT(chosen > 0);
+	CU_ASSERT(chosen < 600 / 3 / 2);
+	/* One more failure prolongs the trial. */
+	pb_note_outcome(ctx, bad, true);
+	pb_advance_clock(&clk, 5 * PB_SEC);
+	CU_ASSERT(bad->failing);
+	chosen = 0;
+	for (i = 0; i < 600; i++)
+		chosen += choose(reg, "b", 0) == bad;
+	CU_ASSERT(chosen < 600 / 3 / 2);
+	for (i = 0; i < 3; i++)
+		pb_note_outcome(ctx, bad, false);
+	CU_ASSERT_FALSE(bad->failing);
+	for (i = 0, chosen = 0; i < 600; i++)
+		chosen += choose(reg, "b", 0) == bad;
+	CU_ASSERT(chosen > 600 / 3 / 2);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Passes outcomes on as a router that asks and the one that is asked do. */
 static void
 tell_outcomes(struct pb_registry *asking, struct pb_registry *asked)
@@ -471,7 +507,7 @@
 	    {"reported load", test_reported_load},
 	    {"prefix holder", test_prefix_holder},
 	    {"shared load", test_shared_load},
-	    {"failing instance", test_failing_instance},
+	    {"failing instance", test_failing_instance}, {"trial", test_trial},
 	    {"shared outcomes", test_shared_outcomes},
 	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
 	    {"restart", test_restart}, {"changes", test_changes},
