--- a/source/gateway/gateway-announce.c
+++ b/source/gateway/gateway-announce.c
@@ -18,14 +18,6 @@
 
 static void announce_row(struct pb_announce *a);
 
-static void
-schedule(struct pb_announce *a, int64_t delay_us)
-{
-	struct timeval tv = {delay_us / PB_SEC, delay_us % PB_SEC};
-
-	evtimer_add(a->timer, &tv);
-}
-
 static void
 on_head(struct pb_link_call *call)
 {
@@ -51,7 +43,7 @@
 		    "this router is in the list of routers");
 		return;
 	}
-	schedule(a, RETRY_US);
+	pb_set_timer(a->timer, RETRY_US);
 }
 
 static void
@@ -59,7 +51,7 @@
 {
 	(void)failure;
 	/* The row is the same each time, so a write may be done twice. */
-	schedule((struct pb_announce *)call, RETRY_US);
+	pb_set_timer(((struct pb_announce *)call)->timer, RETRY_US);
 }
 
 static const struct pb_link_call_ops call_ops = {
@@ -108,7 +100,7 @@
 		    PB_STR_NONE) != PB_OK))
 		pb_cancel_call(&a->call);
 	pb_clear_buf(&buf);
-	schedule(a, ANSWER_LIMIT_US);
+	pb_set_timer(a->timer, ANSWER_LIMIT_US);
 }
 
 struct pb_announce *
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -163,13 +163,8 @@
 pb_arm_exchange(struct pb_exchange *x)
 {
 	int64_t delay = next_check(x) - pb_now(x->gw->ctx);
-	struct timeval tv;
 
-	if (delay < PB_MSEC)
-		delay = PB_MSEC;
-	tv.tv_sec = delay / PB_SEC;
-	tv.tv_usec = delay % PB_SEC;
-	evtimer_add(x->timer, &tv);
+	pb_set_timer(x->timer, delay > PB_MSEC ? delay : PB_MSEC);
 }
 
 /* The time of the request is over. */
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -79,14 +79,6 @@
 	return follow->behind;
 }
 
-static void
-schedule(struct pb_follow *f, int64_t delay_us)
-{
-	struct timeval tv = {delay_us / PB_SEC, delay_us % PB_SEC};
-
-	evtimer_add(f->timer, &tv);
-}
-
 /* The store is asked from now on. */
 static void
 ask_store(struct pb_follow *f)
@@ -138,7 +130,7 @@
 	}
 	f->epoch = 0;
 	f->behind = false;
-	schedule(f, f->listed ? RETRY_US : FIRST_LIST_US);
+	pb_set_timer(f->timer, f->listed ? RETRY_US : FIRST_LIST_US);
 	ask_store(f);
 }
 
@@ -151,39 +143,11 @@
 }
 
 static void
-apply_entry(struct pb_gateway *gw, const struct change_entry *e)
-{
-	struct pb_instance_entry entry = {.id = pb_str_from(e->id),
-	    .service = pb_str_from(e->service),
-	    .address = pb_str_from(e->address),
-	    .domain = pb_str_from(e->domain),
-	    .slots = e->slots,
-	    .draining = e->draining,
-	    .started_ms = e->started_ms};
-
-	if (e->gone)
-		pb_remove_instance(gw->ctx, gw->registry, entry.id);
-	else if (pb_apply_instance(gw->ctx, gw->registry, &entry) != PB_OK)
-		pb_log_error(gw->ctx, PB_ERROR, NULL);
-}
-
-static void
-apply_changes(struct pb_follow *f, const struct change_answer *a)
+apply_answer(struct pb_follow *f, const struct change_answer *a)
 {
 	struct pb_gateway *gw = f->gw;
-	u_int i;
-
-	/* The ages count to the arrival of the question, after sent_us. */
-	pb_note_instances_fresh(gw, f->sent_us - a->instances_age);
-	if (a->full)
-		pb_begin_listing(gw->registry);
-	for (i = 0; i < a->entries.entries_len; i++)
-		apply_entry(gw, &a->entries.entries_val[i]);
-	if (a->full)
-		pb_end_listing(gw->ctx, gw->registry);
-	pb_note_list_version(gw->registry, a->list_row);
-	pb_apply_reports(gw, a->reports.reports_val, a->reports.reports_len);
-	pb_set_outcomes(gw, a->outcomes.outcomes_val, a->outcomes.outcomes_len);
+
+	pb_apply_changes(gw, a, f->sent_us);
 	f->reports_since = a->clock;
 	f->epoch = a->epoch;
 	f->since = a->sequence;
@@ -221,7 +185,7 @@
 		stop_following(f, why);
 		return;
 	}
-	apply_changes(f, a);
+	apply_answer(f, a);
 	if (f->peer->hash >= f->own_hash && !is_store_lost(gw)) {
 		stop_following(f, "the store answers again");
 		return;
@@ -239,7 +203,7 @@
 	if (f->behind)
 		ask_peer(f);
 	else
-		schedule(f, ASK_PAUSE_US);
+		pb_set_timer(f->timer, ASK_PAUSE_US);
 }
 
 static void
@@ -265,7 +229,7 @@
 		f->status = 0;
 	/* A full list may take long on a small link. */
 	if (pb_now(f->gw->ctx) - f->sent_us < FULL_LIMIT_US)
-		schedule(f, ANSWER_LIMIT_US);
+		pb_set_timer(f->timer, ANSWER_LIMIT_US);
 }
 
 /* Puts the peer's configuration in force. */
@@ -294,7 +258,7 @@
 		return;
 	}
 	pb_note_routing_fresh(gw, f->routing_fresh_us);
-	schedule(f, ASK_PAUSE_US);
+	pb_set_timer(f->timer, ASK_PAUSE_US);
 }
 
 static void
@@ -385,7 +349,7 @@
 	f->answer.len = 0;
 	f->status = 0;
 	f->sent_us = pb_now(gw->ctx);
-	schedule(f, f->starting ? START_LIMIT_US : ANSWER_LIMIT_US);
+	pb_set_timer(f->timer, f->starting ? START_LIMIT_US : ANSWER_LIMIT_US);
 	if (link == NULL || append_question(f, &buf) != PB_OK ||
 	    pb_send_call(link, &f->call, (struct pb_str){buf.data, buf.len},
 		PB_STR_NONE) != PB_OK) {
@@ -433,17 +397,17 @@
 	}
 	if (f->starting) {
 		ask_store(f);
-		schedule(f, FIRST_LIST_US);
+		pb_set_timer(f->timer, FIRST_LIST_US);
 		return;
 	}
 	if (!f->listed) {
 		f->listed = true;
 		pb_list_now(f->gw->router_watch);
-		schedule(f, LIST_ANSWER_US);
+		pb_set_timer(f->timer, LIST_ANSWER_US);
 		return;
 	}
 	if (!ask_new_peer(f))
-		schedule(f, NO_PEER_RETRY_US);
+		pb_set_timer(f->timer, NO_PEER_RETRY_US);
 }
 
 struct pb_router_list *
@@ -458,7 +422,7 @@
 	if (!follow->starting || follow->peer != NULL || ask_new_peer(follow))
 		return;
 	ask_store(follow);
-	schedule(follow, FIRST_LIST_US);
+	pb_set_timer(follow->timer, FIRST_LIST_US);
 }
 
 struct pb_follow *
@@ -477,7 +441,7 @@
 		return NULL;
 	}
 	f->starting = true;
-	schedule(f, START_LIMIT_US);
+	pb_set_timer(f->timer, START_LIMIT_US);
 	return f;
 }
 
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -86,6 +86,8 @@
 void pb_tune_socket(evutil_socket_t fd);
 /* Writes what the socket takes now and queues the rest. */
 int pb_write_now(struct bufferevent *bev, struct pb_str data);
+/* The timer fires once, that much later; an earlier time is replaced. */
+void pb_set_timer(struct event *timer, int64_t delay_us);
 
 /* gateway-link.c: a connection to an upstream or to the store. */
 
@@ -304,6 +306,10 @@
 /* gateway-reports.c: what routers tell each other of the instances. */
 struct load_report;
 struct outcome_report;
+struct change_answer;
+/* Applies another router's answer to a question that was sent at asked_us. */
+void pb_apply_changes(struct pb_gateway *gw, const struct change_answer *answer,
+    int64_t asked_us);
 /* Reports of load for another router, and from one. */
 void pb_fill_reports(struct pb_gateway *gw, int64_t since_us, bool own,
     struct load_report *reports, unsigned int *count);
@@ -317,9 +323,6 @@
 /* Of a router that asks: they are added to the shared ones. */
 void pb_add_outcomes(struct pb_gateway *gw,
     const struct outcome_report *reports, unsigned int count);
-/* Of the router that is followed: they replace the shared ones. */
-void pb_set_outcomes(struct pb_gateway *gw,
-    const struct outcome_report *reports, unsigned int count);
 
 /* gateway-exchange.c: one request and its attempts at upstreams. */
 
--- a/source/gateway/gateway-net.c
+++ b/source/gateway/gateway-net.c
@@ -56,3 +56,11 @@
 		return 0;
 	return bufferevent_write(bev, data.data + n, data.len - (size_t)n);
 }
+
+void
+pb_set_timer(struct event *timer, int64_t delay_us)
+{
+	struct timeval tv = {delay_us / PB_SEC, delay_us % PB_SEC};
+
+	evtimer_add(timer, &tv);
+}
--- a/source/gateway/gateway-reports.c
+++ b/source/gateway/gateway-reports.c
@@ -98,8 +98,8 @@
 	}
 }
 
-void
-pb_set_outcomes(struct pb_gateway *gw, const struct outcome_report *reports,
+static void
+set_outcomes(struct pb_gateway *gw, const struct outcome_report *reports,
     unsigned int count)
 {
 	unsigned int i;
@@ -110,3 +110,41 @@
 		pb_set_shared_outcomes(gw->ctx, gw->registry, &o);
 	}
 }
+
+static void
+apply_entry(struct pb_gateway *gw, const struct change_entry *e)
+{
+	struct pb_instance_entry entry = {.id = pb_str_from(e->id),
+	    .service = pb_str_from(e->service),
+	    .address = pb_str_from(e->address),
+	    .domain = pb_str_from(e->domain),
+	    .slots = e->slots,
+	    .draining = e->draining,
+	    .started_ms = e->started_ms};
+
+	if (e->gone)
+		pb_remove_instance(gw->ctx, gw->registry, entry.id);
+	else if (pb_apply_instance(gw->ctx, gw->registry, &entry) != PB_OK)
+		pb_log_error(gw->ctx, PB_ERROR, NULL);
+}
+
+void
+pb_apply_changes(
+    struct pb_gateway *gw, const struct change_answer *answer, int64_t asked_us)
+{
+	u_int i;
+
+	/* The ages count to the arrival of the question, after asked_us. */
+	pb_note_instances_fresh(gw, asked_us - answer->instances_age);
+	if (answer->full)
+		pb_begin_listing(gw->registry);
+	for (i = 0; i < answer->entries.entries_len; i++)
+		apply_entry(gw, &answer->entries.entries_val[i]);
+	if (answer->full)
+		pb_end_listing(gw->ctx, gw->registry);
+	pb_note_list_version(gw->registry, answer->list_row);
+	pb_apply_reports(
+	    gw, answer->reports.reports_val, answer->reports.reports_len);
+	set_outcomes(
+	    gw, answer->outcomes.outcomes_val, answer->outcomes.outcomes_len);
+}
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -44,14 +44,6 @@
 
 static void ask(struct pb_watch *w);
 
-static void
-schedule(struct pb_watch *w, int64_t delay_us)
-{
-	struct timeval tv = {delay_us / PB_SEC, delay_us % PB_SEC};
-
-	evtimer_add(w->timer, &tv);
-}
-
 /* Changes may have been missed: reads everything from the start. */
 static void
 list_anew(struct pb_watch *w)
@@ -72,7 +64,7 @@
 		pb_log(gw->ctx, PB_WARN, "watch store", gw->settings.store,
 		    NULL, "lost %s: %s", w->ops->name, why);
 	}
-	schedule(w, (int64_t)((double)w->retry_us * jitter));
+	pb_set_timer(w->timer, (int64_t)((double)w->retry_us * jitter));
 	w->retry_us *= 2;
 	if (w->retry_us > RETRY_MAX_US)
 		w->retry_us = RETRY_MAX_US;
@@ -238,7 +230,7 @@
 	if (next <= 0 || w->after[0] != '\0' || w->more)
 		ask(w);
 	else
-		schedule(w, next);
+		pb_set_timer(w->timer, next);
 }
 
 static void
@@ -310,7 +302,7 @@
 		pb_cancel_call(&w->call);
 		note_lost(w, "no connection");
 	} else {
-		schedule(w,
+		pb_set_timer(w->timer,
 		    w->listing ? LIST_LIMIT_US
 			       : ANSWER_LIMIT_US + w->ops->wait_ms * PB_MSEC);
 	}
