--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -156,6 +156,9 @@
 /* An attempt of this router has ended, or is silent for too long. */
 void pb_note_outcome(struct pb_context *ctx, struct pb_registry *registry,
     struct pb_instance *instance, bool failed);
+/* Instances that get few requests, or none, because they failed. */
+size_t pb_count_avoided(
+    struct pb_context *ctx, const struct pb_registry *registry);
 /* When an instance was last found to fail; 0: never. */
 int64_t pb_last_avoided(const struct pb_registry *registry);
 
--- a/source/registry/registry-health.c
+++ b/source/registry/registry-health.c
@@ -193,6 +193,18 @@
 	note_health(ctx, registry, inst);
 }
 
+size_t
+pb_count_avoided(struct pb_context *ctx, const struct pb_registry *registry)
+{
+	int64_t now = pb_now(ctx);
+	size_t i, n = 0;
+
+	for (i = 0; i < registry->count; i++)
+		n += pb_is_failing(registry->instances[i], now) ||
+		    pb_is_on_trial(registry->instances[i], now);
+	return n;
+}
+
 int64_t
 pb_last_avoided(const struct pb_registry *registry)
 {
--- a/tests/scripts/gateway-health.sh
+++ b/tests/scripts/gateway-health.sh
@@ -35,6 +35,10 @@
 	grep -h '"peer":"b1","text":"avoided' "$FLEET_DIR/g$n.out" |
 	    grep -o '[0-9.]* of [0-9.]* own attempts'
 done
+echo "instances avoided by router 2: $(curl -sf -m 2 \
+    "http://127.0.0.1:$(metrics_port 2)/metrics" |
+    sed -n 's/^poplarbeam_instances_avoided //p')"
+
 # avoided_ms ROUTER: when it began to avoid the instance.
 avoided_ms() {
 	date +%s%3N -d "$(grep -m1 '"peer":"b1","text":"avoided' \
