--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -143,7 +143,7 @@
     struct pb_context *ctx, struct pb_instance *instance, int requests);
 /*
  * The same, seen by another router at that moment. id_hash: the low bits of
- * the instance's hash; two instances with the same bits share their reports.
+ * the instance's hash.
  */
 void pb_note_shared_load(struct pb_registry *registry, uint32_t id_hash,
     int requests, int64_t reported_us);
--- a/source/registry/registry-health.c
+++ b/source/registry/registry-health.c
@@ -154,23 +154,11 @@
 	return n;
 }
 
-static struct pb_instance *
-find_by_hash(struct pb_registry *registry, uint32_t id_hash)
-{
-	size_t i;
-
-	for (i = 0; i < registry->count; i++) {
-		if ((uint32_t)registry->instances[i]->hash == id_hash)
-			return registry->instances[i];
-	}
-	return NULL;
-}
-
 void
 pb_add_shared_outcomes(struct pb_context *ctx, struct pb_registry *registry,
     const struct pb_outcomes *outcomes)
 {
-	struct pb_instance *inst = find_by_hash(registry, outcomes->id_hash);
+	struct pb_instance *inst = pb_find_by_hash(registry, outcomes->id_hash);
 
 	if (inst == NULL)
 		return;
@@ -183,7 +171,7 @@
 pb_set_shared_outcomes(struct pb_context *ctx, struct pb_registry *registry,
     const struct pb_outcomes *outcomes)
 {
-	struct pb_instance *inst = find_by_hash(registry, outcomes->id_hash);
+	struct pb_instance *inst = pb_find_by_hash(registry, outcomes->id_hash);
 
 	if (inst == NULL)
 		return;
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -41,6 +41,9 @@
 bool pb_is_failing(const struct pb_instance *instance, int64_t now);
 /* True if it failed lately and is not known to be well. */
 bool pb_is_on_trial(const struct pb_instance *instance, int64_t now);
+/* By the low bits of its hash; of two with the same bits, the first one. */
+struct pb_instance *pb_find_by_hash(
+    const struct pb_registry *registry, uint32_t id_hash);
 /* Remembers a removal for followers. */
 void pb_note_departure(struct pb_registry *registry, const char *id);
 
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -100,6 +100,18 @@
 	return find_index(registry, id, &i) ? registry->instances[i] : NULL;
 }
 
+struct pb_instance *
+pb_find_by_hash(const struct pb_registry *registry, uint32_t id_hash)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		if ((uint32_t)registry->instances[i]->hash == id_hash)
+			return registry->instances[i];
+	}
+	return NULL;
+}
+
 static void
 copy_text(char *dst, struct pb_str src)
 {
--- a/source/registry/registry-load.c
+++ b/source/registry/registry-load.c
@@ -27,10 +27,13 @@
 	instance->report_shared = false;
 }
 
-static void
-note_shared(struct pb_instance *inst, int requests, int64_t reported_us)
+void
+pb_note_shared_load(struct pb_registry *registry, uint32_t id_hash,
+    int requests, int64_t reported_us)
 {
-	if (reported_us <= inst->reported_us)
+	struct pb_instance *inst = pb_find_by_hash(registry, id_hash);
+
+	if (inst == NULL || reported_us <= inst->reported_us)
 		return;
 	inst->reported = requests;
 	inst->reported_own = inst->in_flight;
@@ -38,19 +41,6 @@
 	inst->report_shared = true;
 }
 
-void
-pb_note_shared_load(struct pb_registry *registry, uint32_t id_hash,
-    int requests, int64_t reported_us)
-{
-	size_t i;
-
-	for (i = 0; i < registry->count; i++) {
-		if ((uint32_t)registry->instances[i]->hash == id_hash)
-			note_shared(
-			    registry->instances[i], requests, reported_us);
-	}
-}
-
 static int
 compare_reports(const void *a, const void *b)
 {
--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -158,3 +158,7 @@
 gateway_ended() { ! kill -0 "$(pid_of "g$1")" 2>/dev/null; }
 
 gateway_log() { cat "$FLEET_DIR/g$1.out"; }
+
+# The log lines by which routers begin to follow another one.
+followed() { grep -h 'followed instead' "$FLEET_DIR"/g?.out; }
+two_follow() { [ "$(followed | wc -l)" -ge 2 ]; }
--- a/tests/scripts/gateway-health.sh
+++ b/tests/scripts/gateway-health.sh
@@ -11,8 +11,6 @@
 apply_config 1
 for n in 1 2 3; do start_gateway $n; done
 for n in 1 2 3; do wait_gateway $n; done
-followed() { grep -h 'followed instead' "$FLEET_DIR"/g?.out; }
-two_follow() { [ "$(followed | wc -l)" -ge 2 ]; }
 await 15 two_follow && echo "two routers follow"
 
 # call ROUTER ID [QUERY]: prints the status.
--- a/tests/scripts/gateway-large.sh
+++ b/tests/scripts/gateway-large.sh
@@ -12,8 +12,6 @@
 apply_config 1
 for n in 1 2 3; do start_gateway $n; done
 for n in 1 2 3; do wait_gateway $n; done
-followed() { grep -h 'followed instead' "$FLEET_DIR"/g?.out; }
-two_follow() { [ "$(followed | wc -l)" -ge 2 ]; }
 await 15 two_follow && echo "two routers follow"
 find_leader() {
 	followed | grep -o '"peer":"g[0-9]"' | grep -o 'g[0-9]' | sort |
--- a/tests/scripts/gateway-partial.sh
+++ b/tests/scripts/gateway-partial.sh
@@ -12,8 +12,6 @@
 apply_config 1
 for n in 1 2 3; do start_gateway $n; done
 for n in 1 2 3; do wait_gateway $n; done
-followed() { grep -h 'followed instead' "$FLEET_DIR"/g?.out; }
-two_follow() { [ "$(followed | wc -l)" -ge 2 ]; }
 await 20 two_follow
 # The first router is the one that follows no other one.
 first=$(grep -L 'followed instead' "$FLEET_DIR"/g?.out |
