Leave out at most a third of the instances for a trial

Cause: half of the instances could be on trial at once, up to six seconds after a fault had ended, and the other half then carried 1.8 times the mean load. The bound is twice the mean + 3, and loads are known only from reports. Change: at most a third are left out for a trial, half while they fail; counts of failures are forgotten within two half-lives (4 s) instead of three. Ruled out: a third also while they fail: the calls of 33 to 50% failing instances would be lost, and the bound does not hold during a fault. Test: test-registry, "share on trial": 90 of 600 requests on one instance before (mean 50), at most 75 now.

--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -103,14 +103,17 @@
 	return s;
 }
 
-/* When most instances fail, avoiding them would only overload the rest. */
+/*
+ * Avoiding many instances overloads the rest: at most a third of them are left
+ * out for a trial, and half of them while they fail.
+ */
 static enum demand
 pick_demand(const struct survey *s, struct pb_random *rnd)
 {
 	bool trial =
 	    s->sound < s->not_failing && pb_next_unit(rnd) < TRIAL_SHARE;
 
-	if (!trial && s->sound > 0 && s->sound * 2 >= s->open)
+	if (!trial && s->sound > 0 && s->sound * 3 >= s->open * 2)
 		return DEMAND_SOUND;
 	if (s->not_failing > 0 && s->not_failing * 2 >= s->open)
 		return DEMAND_TRIAL;
--- a/source/registry/registry-health.c
+++ b/source/registry/registry-health.c
@@ -8,8 +8,8 @@
 #define FAILURE_SHARE 0.35
 /* Decayed failures below which the share says too little. */
 #define FAILURES_MIN 2.0
-/* An instance that is well again gets work within three half-lives. */
-#define FAILURES_MAX 16.0
+/* Failures are forgotten within two half-lives, whatever their number. */
+#define FAILURES_MAX 8.0
 /* After its last failure, an instance gets few requests for this long. */
 #define TRIAL_US (6 * PB_SEC)
 /* Fewer failures than this are not worth a place in a message. */
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -246,6 +246,39 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/*
+ * Guards against instances that carry over twice the mean because many others
+ * are still avoided after a fault that has ended.
+ */
+static void
+test_share_on_trial(void)
+{
+	struct pb_registry *reg = new_fleet(12);
+	char id[16];
+	int i, k, most = 0;
+
+	for (i = 0; i < 6; i++) {
+		snprintf(id, sizeof(id), "i%d", i);
+		for (k = 0; k < 60; k++)
+			pb_note_outcome(ctx, reg,
+			    pb_find_instance(reg, pb_str_from(id)), true);
+	}
+	pb_advance_clock(&clk, 4100 * PB_MSEC);
+	for (i = 0; i < 600; i++)
+		pb_note_dispatch(choose(reg, "a", 0));
+	for (i = 0; i < 12; i++) {
+		struct pb_instance *inst;
+
+		snprintf(id, sizeof(id), "i%d", i);
+		inst = pb_find_instance(reg, pb_str_from(id));
+		if (inst->in_flight > most)
+			most = inst->in_flight;
+	}
+	/* The mean is 50; half of the room up to twice the mean is left. */
+	CU_ASSERT(most <= 75);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Passes outcomes on as a router that asks and the one that is asked do. */
 static void
 tell_outcomes(struct pb_registry *asking, struct pb_registry *asked)
@@ -509,6 +542,7 @@
 	    {"prefix holder", test_prefix_holder},
 	    {"shared load", test_shared_load},
 	    {"failing instance", test_failing_instance}, {"trial", test_trial},
+	    {"share on trial", test_share_on_trial},
 	    {"shared outcomes", test_shared_outcomes},
 	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
 	    {"restart", test_restart}, {"changes", test_changes},
