Prefer sound instances for a second attempt as well

Cause: instances that a request has already tried were left out of the count of sound ones, but not of the number that they were compared with. With three instances, a second attempt took the least loaded one whether it failed or not. Change: the shares are those of all instances; only the choice leaves the tried ones out. The dispatch line tells how many instances are sound. The soak's script library had an unset variable since the last option of start_backend. Ruled out: leaving tried instances out of both numbers, which lets the bound on avoided instances depend on the attempt. Test: test-registry, "second attempt", fails on the code before.

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -201,6 +201,7 @@
 /* What a placement was decided on, for the log. */
 struct pb_placement_facts {
 	size_t candidates;
+	size_t sound; /* of these, neither failing nor on trial */
 	double mean; /* requests on a candidate */
 	double estimate; /* requests on the chosen instance */
 	int64_t report_age_us; /* of the chosen instance; -1: no report */
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -72,9 +72,10 @@
 log_dispatch(struct pb_exchange *x, const struct pb_placement_facts *facts)
 {
 	pb_log(x->gw->ctx, PB_INFO, "dispatch", x->instance->id, x->log_id,
-	    "attempt %d; load %.1f of mean %.1f over %zu, report %lld ms old, "
-	    "%s, configuration %lld",
+	    "attempt %d; load %.1f of mean %.1f over %zu, %zu sound, report "
+	    "%lld ms old, %s, configuration %lld",
 	    x->attempts + 1, facts->estimate, facts->mean, facts->candidates,
+	    facts->sound,
 	    facts->report_age_us < 0
 		? -1
 		: (long long)(facts->report_age_us / PB_MSEC),
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -74,10 +74,13 @@
 
 struct survey {
 	size_t open;
-	size_t sound;
+	size_t sound; /* of the open ones */
 	size_t not_failing;
-	size_t reachable;
 	double sum; /* of the open instances' loads */
+	/* Of these, not excluded. */
+	size_t sound_left;
+	size_t not_failing_left;
+	size_t reachable_left;
 };
 
 static struct survey
@@ -89,16 +92,21 @@
 
 	for (i = 0; i < reg->count; i++) {
 		const struct pb_instance *inst = reg->instances[i];
+		bool sound, not_failing;
 
 		if (!is_open(p, inst))
 			continue;
+		sound = meets(inst, DEMAND_SOUND, now);
+		not_failing = meets(inst, DEMAND_TRIAL, now);
 		s.open++;
 		s.sum += estimate_load(inst, now);
+		s.sound += sound;
+		s.not_failing += not_failing;
 		if (is_excluded(p, inst))
 			continue;
-		s.sound += meets(inst, DEMAND_SOUND, now);
-		s.not_failing += meets(inst, DEMAND_TRIAL, now);
-		s.reachable += meets(inst, DEMAND_REACHABLE, now);
+		s.sound_left += sound;
+		s.not_failing_left += not_failing;
+		s.reachable_left += meets(inst, DEMAND_REACHABLE, now);
 	}
 	return s;
 }
@@ -113,11 +121,11 @@
 	bool trial =
 	    s->sound < s->not_failing && pb_next_unit(rnd) < TRIAL_SHARE;
 
-	if (!trial && s->sound > 0 && s->sound * 3 >= s->open * 2)
+	if (!trial && s->sound_left > 0 && s->sound * 3 >= s->open * 2)
 		return DEMAND_SOUND;
-	if (s->not_failing > 0 && s->not_failing * 2 >= s->open)
+	if (s->not_failing_left > 0 && s->not_failing * 2 >= s->open)
 		return DEMAND_TRIAL;
-	return s->reachable > 0 ? DEMAND_REACHABLE : DEMAND_ANY;
+	return s->reachable_left > 0 ? DEMAND_REACHABLE : DEMAND_ANY;
 }
 
 static uint64_t
@@ -231,6 +239,7 @@
 	    ? find_holder(registry, placement, inst, now)
 	    : NULL;
 	facts->candidates = s.open;
+	facts->sound = s.sound;
 	facts->mean = mean;
 	facts->estimate = inst != NULL ? estimate_load(inst, now) : 0;
 	facts->report_age_us = -1;
--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -63,7 +63,7 @@
 
 # start_backend N SERVICE [ACTION]
 start_backend() {
-	launch "b$1" "$FLEET_BIN/pb-backend" "$(backend_port "$1")" "b$1" $3
+	launch "b$1" "$FLEET_BIN/pb-backend" "$(backend_port "$1")" "b$1" ${3:-}
 	announce_backend "$1" "$2"
 }
 
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -279,6 +279,34 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/*
+ * Guards against a second attempt at a failing instance while a sound one is
+ * left: the first attempt's instance is one of the sound ones.
+ */
+static void
+test_second_attempt(void)
+{
+	struct pb_registry *reg = new_fleet(3);
+	struct pb_instance *first = pb_find_instance(reg, pb_str_from("i0"));
+	struct pb_instance *bad = pb_find_instance(reg, pb_str_from("i1"));
+	struct pb_instance *good = pb_find_instance(reg, pb_str_from("i2"));
+	struct pb_placement p = {.service = pb_str_from("s"),
+	    .domain = pb_str_from("b"),
+	    .excluded = &first,
+	    .excluded_count = 1,
+	    .rnd = &rnd};
+	struct pb_placement_facts facts;
+	int i;
+
+	for (i = 0; i < 4; i++)
+		pb_note_outcome(ctx, reg, bad, true);
+	for (i = 0; i < 50; i++)
+		CU_ASSERT_PTR_EQUAL(
+		    pb_choose_instance(ctx, reg, &p, &facts), good);
+	CU_ASSERT_EQUAL(facts.sound, 2);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Passes outcomes on as a router that asks and the one that is asked do. */
 static void
 tell_outcomes(struct pb_registry *asking, struct pb_registry *asked)
@@ -541,7 +569,8 @@
 	    {"reported load", test_reported_load},
 	    {"prefix holder", test_prefix_holder},
 	    {"shared load", test_shared_load},
-	    {"failing instance", test_failing_instance}, {"trial", test_trial},
+	    {"failing instance", test_failing_instance},
+	    {"second attempt", test_second_attempt}, {"trial", test_trial},
 	    {"share on trial", test_share_on_trial},
 	    {"shared outcomes", test_shared_outcomes},
 	    {"leaving", test_leaving}, {"lapsed entries", test_lapsed_entries},
