Log what requests in a crash have in common

Change: the log line "crash suspect" with fingerprint, progress and shared prompt parts of each request whose connection broke, and a counter of broken attempts. No change of logic.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -359,6 +359,28 @@
 		fail_request(x, "attempt failed");
 }
 
+/* Logs what the request may have in common with others that crash instances. */
+static void
+log_crash_suspect(struct pb_exchange *x)
+{
+	char parts[256] = "";
+	size_t i, len = 0;
+
+	for (i = 0; i < x->shared_part_count && len < sizeof(parts); i++)
+		len +=
+		    (size_t)snprintf(parts + len, sizeof(parts) - len, " %.*s",
+			(int)x->shared_parts[i].len, x->shared_parts[i].data);
+	pb_log(x->gw->ctx, PB_INFO, "crash suspect", x->instance->id, x->log_id,
+	    "request %016llx, started %lld, response %s, shared prompt "
+	    "parts:%s",
+	    (unsigned long long)x->fingerprint,
+	    (long long)x->instance->started_ms,
+	    x->started		 ? "passed on in part"
+		: x->status != 0 ? "begun"
+				 : "not begun",
+	    parts[0] != '\0' ? parts : " none");
+}
+
 /*
  * Records that the connection broke while the instance worked on the request:
  * the request may have crashed the instance. The start time of the instance is
@@ -396,8 +418,11 @@
 	}
 	x->may_have_run = true;
 	pb_note_outcome(gw->ctx, gw->registry, x->instance, true);
-	if (failure == PB_LINK_BROKEN)
+	if (failure == PB_LINK_BROKEN) {
+		gw->broken_attempts++;
+		log_crash_suspect(x);
 		note_crash(x);
+	}
 	if (x->repeatable && pb_take_attempt(x))
 		pb_next_attempt(x);
 	else
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -88,6 +88,7 @@
 	int64_t settings_time_ns; /* modification time of the settings file */
 	int64_t buffered; /* bytes of requests and responses in progress */
 	int64_t unreadable_loads; /* responses with an unreadable load */
+	int64_t broken_attempts; /* connections that broke during an attempt */
 	int64_t stop_us; /* start of the stop in progress; 0: none */
 	bool last_ready; /* result of the last readiness check */
 };
@@ -518,6 +519,9 @@
 	bool has_body;
 	uint64_t affinity;
 	uint64_t fingerprint; /* hash of target, client account and body */
+	/* Ids of the prompt parts that other requests may share. */
+	struct pb_str shared_parts[PB_PROMPT_PARTS_MAX];
+	size_t shared_part_count;
 	int64_t prompt_tokens;
 	int64_t received_us;
 	int64_t deadline_us;
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -137,12 +137,13 @@
 }
 
 /*
- * Sets the affinity hash from all prompt parts but the last. Requests for which
- * these parts are equal share the prompt prefix that an engine has processed.
- * The last part is specific to the request or its session.
+ * Records all prompt parts but the last, and sets the affinity hash from them.
+ * Requests for which these parts are equal share the prompt prefix that an
+ * engine has processed. The last part is specific to the request or its
+ * session.
  */
 static void
-set_affinity(struct pb_exchange *x, const struct pb_prompt *prompt)
+set_prompt(struct pb_exchange *x, const struct pb_prompt *prompt)
 {
 	uint64_t hash = 1;
 	size_t i;
@@ -151,8 +152,11 @@
 		const struct pb_prompt_part *p = &prompt->parts[i];
 
 		x->prompt_tokens += p->tokens;
-		if (i + 1 < prompt->count)
-			hash = pb_hash(p->id.data, p->id.len, hash);
+		if (i + 1 == prompt->count)
+			break;
+		hash = pb_hash(p->id.data, p->id.len, hash);
+		x->shared_parts[x->shared_part_count++] =
+		    pb_arena_str(x->arena, p->id.data, p->id.len);
 	}
 	if (prompt->count > 1)
 		x->affinity = hash;
@@ -214,7 +218,7 @@
 	x->last_event = req->last_event;
 	x->has_body = req->has_body || x->conn->body.len > 0;
 	x->repeatable = route->kind == PB_ROUTE_IDEMPOTENT || route->resumable;
-	set_affinity(x, &req->prompt);
+	set_prompt(x, &req->prompt);
 	if (x->budget == NULL)
 		return PB_ENOMEM;
 	pb_set_rank(x);
