Test requests that share a prompt part which crashes instances

Cause: routers contain a crashing request by its target, account and body; different requests with the same deadly prompt part are never recognized.

--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -29,6 +29,9 @@
  *             sends bytes that are not HTTP, or a head, a body without a length
  *             or an event that never ends, as fast as the peer reads
  *
+ * A request whose prompt prefix has the part "dead" before its last part aborts
+ * the process when its response begins, whatever the action.
+ *
  * "GET /runs/REQUEST-ID" returns how often a request was executed, "GET
  * /all-runs" lists the id, the count and the time of the last execution in Unix
  * milliseconds of every request, and "GET /cancelled" returns the number of
@@ -419,6 +422,18 @@
 	return expected[0] != '\0' && strcmp(expected, c->backend->id) != 0;
 }
 
+/* Returns true if the part that crashes the process precedes the last one. */
+static bool
+has_deadly_part(const struct pb_http_head *h)
+{
+	char parts[256];
+	const char *dead;
+
+	copy_field(h, "X-Poplarbeam-Prompt-Prefix", parts, sizeof(parts));
+	dead = strstr(parts, "dead:");
+	return dead != NULL && strchr(dead, ',') != NULL;
+}
+
 static void
 serve_request(struct conn *c)
 {
@@ -454,6 +469,12 @@
 		return;
 	}
 	record_run(c->backend, c->request_id);
+	if (has_deadly_part(h)) {
+		send_response_head(c, 200, c->request_id, true);
+		evbuffer_write(
+		    bufferevent_get_output(c->bev), bufferevent_getfd(c->bev));
+		abort();
+	}
 	c->busy = true;
 	c->backend->running++;
 	copy_field(h, "Last-Event-Id", last_event_id, sizeof(last_event_id));
--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -34,13 +34,14 @@
 
 delete_row() { curl -sf -m 5 -X DELETE "$store_url/control/row/$1/$2"; }
 
-# backend_entry N SERVICE [STATE] [SEQUENCE]
+# backend_entry N SERVICE [STATE] [SEQUENCE]: BORN is the Unix millisecond of
+# the back end's start.
 backend_entry() {
 	printf '{"service":"%s","address":"127.0.0.1:%s","zone":"a",' "$2" \
 	    "$(announced_port "$1")"
 	printf '"version":"v1","slots":8,"state":"%s","cold-left-ms":0,' \
 	    "${3:-ready}"
-	printf '"sequence":%s,"born":1700000000000}' "${4:-1}"
+	printf '"sequence":%s,"born":%s}' "${4:-1}" "${BORN:-1700000000000}"
 }
 
 # announce_backend N SERVICE [STATE] [SEQUENCE]
