Contain a prompt part that crashes instances

Cause: the containment knew a crashing request only by the hash of all that its caller had sent. Different requests that share the cause of the crash, a part of the prompt, never reached three crashes. Evidence: 1,011 fingerprints in 42 crashes, none in more than four; one shared part in all of them, of which no response was ever passed on. Change: crashes count for each shared prompt part as well. A part is refused after three crashes at different moments, unless a request with it has succeeded or a response has gone on for a second within two minutes, here or at a router that reports it. A refused part is reported for as long as it is refused, so that a router that starts learns of it. The refusal tells callers how long it lasts. Why it works: every response on a sound part clears it within seconds; nothing clears a part on which no response ever goes on. Result: gateway-deadly-part.sh failed before (nine instances lost) and passes (three).

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -117,19 +117,22 @@
 	struct pb_gateway *gw = x->gw;
 	struct pb_placement_facts facts;
 	struct pb_instance *inst;
+	const char *refusal;
 
 	pb_release_instance(x);
 	pb_clear_buf(&x->response);
 	pb_update_response_memory(x);
 	x->unusable = false;
 	x->silence_noted = false;
+	x->attempt_event_us = 0;
 	if (x->tried_count == PB_TRIED_MAX ||
 	    x->deadline_us - pb_now(gw->ctx) < ATTEMPT_MIN_US) {
 		fail_request(x, "no attempt left");
 		return;
 	}
-	if (pb_refusal_left(gw->ctx, gw->suspects, x->fingerprint) > 0) {
-		fail_request(x, "was in progress in several crashes");
+	refusal = pb_find_refusal(x);
+	if (refusal != NULL) {
+		fail_request(x, refusal);
 		return;
 	}
 	inst = pb_choose_for_exchange(x, &facts);
@@ -340,7 +343,7 @@
 
 	pb_note_outcome(x->gw->ctx, x->gw->registry, x->instance, failed);
 	if (!failed) {
-		pb_note_success(x->gw->ctx, x->gw->suspects, x->fingerprint);
+		pb_note_sound_request(x);
 		deliver_response(x);
 		return;
 	}
@@ -359,47 +362,6 @@
 		fail_request(x, "attempt failed");
 }
 
-/* Logs what the request may have in common with others that crash instances. */
-static void
-log_crash_suspect(struct pb_exchange *x)
-{
-	char parts[256] = "";
-	size_t i, len = 0;
-
-	for (i = 0; i < x->shared_part_count && len < sizeof(parts); i++)
-		len +=
-		    (size_t)snprintf(parts + len, sizeof(parts) - len, " %.*s",
-			(int)x->shared_parts[i].len, x->shared_parts[i].data);
-	pb_log(x->gw->ctx, PB_INFO, "crash suspect", x->instance->id, x->log_id,
-	    "request %016llx, started %lld, response %s, shared prompt "
-	    "parts:%s",
-	    (unsigned long long)x->fingerprint,
-	    (long long)x->instance->started_ms,
-	    x->started		 ? "passed on in part"
-		: x->status != 0 ? "begun"
-				 : "not begun",
-	    parts[0] != '\0' ? parts : " none");
-}
-
-/*
- * Records that the connection broke while the instance worked on the request:
- * the request may have crashed the instance. The start time of the instance is
- * part of the hash, so a crash after a restart counts as another crash.
- */
-static void
-note_crash(struct pb_exchange *x)
-{
-	struct pb_gateway *gw = x->gw;
-	struct pb_crash crash = {x->fingerprint,
-	    pb_hash_pair(x->instance->hash, (uint64_t)x->instance->started_ms)};
-
-	if (pb_note_crash(gw->ctx, gw->suspects, &crash))
-		pb_log(gw->ctx, PB_WARN, "contain request", x->instance->id,
-		    x->log_id,
-		    "connections to several instances broke while the request "
-		    "was in progress; refusing it temporarily");
-}
-
 static void
 on_failed(struct pb_link_call *call, enum pb_link_failure failure)
 {
@@ -418,11 +380,8 @@
 	}
 	x->may_have_run = true;
 	pb_note_outcome(gw->ctx, gw->registry, x->instance, true);
-	if (failure == PB_LINK_BROKEN) {
-		gw->broken_attempts++;
-		log_crash_suspect(x);
-		note_crash(x);
-	}
+	if (failure == PB_LINK_BROKEN)
+		pb_note_broken_attempt(x);
 	if (x->repeatable && pb_take_attempt(x))
 		pb_next_attempt(x);
 	else
--- a/source/gateway/gateway-events.c
+++ b/source/gateway/gateway-events.c
@@ -94,8 +94,10 @@
 		}
 		from = end;
 	}
-	if (from > 0)
+	if (from > 0) {
 		x->progress_us = pb_now(x->gw->ctx);
+		pb_note_stream_progress(x);
+	}
 	forward_response(x, data, from);
 	memmove(x->response.data, data + from, len - from);
 	x->response.len = len - from;
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -124,6 +124,7 @@
 {
 	struct pb_conn *conn = x->conn;
 	int64_t left = x->deadline_us - pb_now(x->gw->ctx);
+	int64_t retry_after = x->retry_after_us;
 	bool started = x->started;
 
 	x->conn = NULL;
@@ -135,7 +136,7 @@
 	if (started)
 		pb_abort_response(conn);
 	else if (status == 503)
-		pb_refuse_conn(conn, status, left);
+		pb_refuse_conn(conn, status, left, retry_after);
 	else
 		pb_send_response(conn, status, PB_STR_NONE, PB_STR_NONE);
 }
@@ -299,9 +300,7 @@
 		pb_fail_exchange(x, 503, "out of memory");
 		return;
 	}
-	x->fingerprint = pb_fingerprint(pb_http_target(&conn->reader.head),
-	    x->account != NULL ? x->account->name : PB_STR_NONE,
-	    (struct pb_str){x->body.data, x->body.len});
+	pb_set_fingerprints(x);
 	pb_note_window_request(x->gw->ctx, x->budget->window);
 	pb_next_attempt(x);
 }
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -239,9 +239,11 @@
 bool pb_is_ready(struct pb_gateway *gw);
 /*
  * Refuses a request that has not run and sends the time after which the caller
- * may retry. left_us is the time until the deadline of the request.
+ * may retry: after_us, or if that is 0 a short random time that leaves enough
+ * of left_us, the time until the deadline of the request.
  */
-void pb_refuse_conn(struct pb_conn *conn, int status, int64_t left_us);
+void pb_refuse_conn(
+    struct pb_conn *conn, int status, int64_t left_us, int64_t after_us);
 
 /* gateway-watch.c: follows one table of the store. */
 
@@ -518,10 +520,13 @@
 	struct pb_buf body;
 	bool has_body;
 	uint64_t affinity;
-	uint64_t fingerprint; /* hash of target, client account and body */
 	/* Ids of the prompt parts that other requests may share. */
 	struct pb_str shared_parts[PB_PROMPT_PARTS_MAX];
 	size_t shared_part_count;
+	/* Of the request, then of each shared part. */
+	uint64_t fingerprints[1 + PB_PROMPT_PARTS_MAX];
+	int64_t attempt_event_us; /* first event of the attempt; 0: none */
+	bool parts_cleared; /* the shared parts are known not to crash */
 	int64_t prompt_tokens;
 	int64_t received_us;
 	int64_t deadline_us;
@@ -542,6 +547,8 @@
 	bool silence_noted; /* counted as failed; the attempt continues */
 	bool may_have_run;
 	bool repeatable; /* may run more than once */
+	/* When a refused caller may retry; 0: after a short random time. */
+	int64_t retry_after_us;
 	/* The response. */
 	int status;
 	struct pb_response_info info; /* of the attempt in progress */
@@ -583,6 +590,24 @@
 /* Returns true if another attempt is allowed, and charges the retry budget. */
 bool pb_take_attempt(struct pb_exchange *x);
 
+/* gateway-contain.c: limits requests that crash the instances they run on. */
+/* Sets the fingerprints. The body and the account must be set. */
+void pb_set_fingerprints(struct pb_exchange *x);
+/*
+ * Returns why the request is refused, and sets when its caller may retry.
+ * Returns NULL if it may run.
+ */
+const char *pb_find_refusal(struct pb_exchange *x);
+/* Records that the request received a complete response. */
+void pb_note_sound_request(struct pb_exchange *x);
+/* Records that an event of the response has arrived. */
+void pb_note_stream_progress(struct pb_exchange *x);
+/*
+ * Records that the connection broke while the instance worked on the request,
+ * which may have crashed it.
+ */
+void pb_note_broken_attempt(struct pb_exchange *x);
+
 /* gateway-events.c */
 /*
  * Forwards complete events of the response to the caller. Returns false if an
--- a/source/gateway/gateway-metrics.c
+++ b/source/gateway/gateway-metrics.c
@@ -117,6 +117,7 @@
 	    "poplarbeam_instances_avoided %zu\n"
 	    "poplarbeam_unreadable_loads_total %lld\n"
 	    "poplarbeam_broken_attempts_total %lld\n"
+	    "poplarbeam_contained %zu\n"
 	    "poplarbeam_configuration_version %lld\n"
 	    "poplarbeam_configuration_age_seconds %.3f\n"
 	    "poplarbeam_instances_age_seconds %.3f\n",
@@ -125,6 +126,7 @@
 	    pb_count_instances(gw->registry),
 	    pb_count_avoided(gw->ctx, gw->registry),
 	    (long long)gw->unreadable_loads, (long long)gw->broken_attempts,
+	    pb_count_refused(gw->ctx, gw->suspects),
 	    gw->routing != NULL ? (long long)gw->routing->version : -1,
 	    (double)(now - gw->routing_fresh_us) / PB_SEC,
 	    (double)(now - gw->instances_fresh_us) / PB_SEC);
--- a/source/gateway/gateway-ready.c
+++ b/source/gateway/gateway-ready.c
@@ -49,19 +49,27 @@
 const struct pb_conn_ops pb_ready_ops = {send_readiness};
 const struct pb_conn_ops pb_metrics_ops = {send_metrics};
 
-void
-pb_refuse_conn(struct pb_conn *conn, int status, int64_t left_us)
+/* Returns a random time after which a refused caller may retry. */
+static int64_t
+draw_retry_delay(struct pb_gateway *gw, int64_t left_us)
 {
-	struct pb_gateway *gw = conn->gw;
 	int64_t span = RETRY_AFTER_MAX_US - RETRY_AFTER_MIN_US;
 	int64_t after = RETRY_AFTER_MIN_US +
 	    (int64_t)(pb_next_uniform(&gw->rnd) * (double)span);
-	char fields[64];
 
 	/* Leaves the caller enough time for a second attempt. */
-	if (after > left_us / 3)
-		after = left_us / 3;
+	return after < left_us / 3 ? after : left_us / 3;
+}
+
+void
+pb_refuse_conn(
+    struct pb_conn *conn, int status, int64_t left_us, int64_t after_us)
+{
+	char fields[64];
+
+	if (after_us == 0)
+		after_us = draw_retry_delay(conn->gw, left_us);
 	snprintf(fields, sizeof(fields), "Retry-After: %.3f\r\n",
-	    (double)after / (double)PB_SEC);
+	    (double)after_us / (double)PB_SEC);
 	pb_send_response(conn, status, pb_str_from(fields), PB_STR_NONE);
 }
--- a/source/gateway/gateway-reports.c
+++ b/source/gateway/gateway-reports.c
@@ -149,7 +149,7 @@
 		struct pb_crash crash = {
 		    reports[i].fingerprint, reports[i].victim};
 
-		pb_note_crash(gw->ctx, gw->suspects, &crash);
+		pb_note_crash_report(gw->ctx, gw->suspects, &crash);
 	}
 }
 
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -248,8 +248,8 @@
 	 * router may have a newer configuration.
 	 */
 	conn->close_after = true;
-	pb_refuse_conn(
-	    conn, status, req->time_limit_us > 0 ? req->time_limit_us : PB_SEC);
+	pb_refuse_conn(conn, status,
+	    req->time_limit_us > 0 ? req->time_limit_us : PB_SEC, 0);
 }
 
 /*
--- a/source/suspects/suspects-table.c
+++ b/source/suspects/suspects-table.c
@@ -5,31 +5,51 @@
 #include <string.h>
 
 /*
- * A request is refused after this many crashes. Crashes of the same instance
+ * Requests are refused after this many crashes. Crashes of the same instance
  * count separately if the instance was restarted between them.
  */
 #define CRASHES_MAX 3
-/* Number of requests that are remembered because of a crash. */
-#define SUSPECTS_MAX 128
-/* Number of requests that are remembered because of a complete response. */
+/* Number of crashes that are remembered of one suspect. */
+#define VICTIMS_MAX 8
+/* Number of fingerprints that are remembered because of a crash. */
+#define SUSPECTS_MAX 256
+/* Number of fingerprints that are remembered because of a success. */
 #define SUCCEEDED_MAX 8192
-/* Crashes and complete responses are forgotten after this time. */
-#define CRASH_TTL_US (120 * PB_SEC)
-/* A request is refused for this long after its last crash. */
-#define REFUSAL_US (60 * PB_SEC)
-/* A crash is reported to other routers for this long. */
-#define SHARE_CRASH_US (5 * PB_SEC)
+/* Successes are forgotten after this time. */
+#define SUCCESS_TTL_US (120 * PB_SEC)
+/* A crash or a success is reported to other routers for this long. */
+#define SHARE_US (5 * PB_SEC)
+/*
+ * Connections that break within this time may have been reset together, by the
+ * network or at this router, and count as one crash for a prompt part.
+ */
+#define SAME_EVENT_US (50 * PB_MSEC)
+/* Set in the fingerprints of prompt parts, clear in those of requests. */
+#define PART_BIT (1ULL << 63)
+
+/* Times after the last crash. */
+struct lifetime {
+	int64_t refusal_us; /* requests are refused */
+	int64_t memory_us; /* the crashes are remembered */
+};
+
+/* The caller of a request gives up after minutes. */
+static const struct lifetime request_lifetime = {60 * PB_SEC, 120 * PB_SEC};
+/* Requests with a prompt part keep coming from many callers. */
+static const struct lifetime part_lifetime = {300 * PB_SEC, 600 * PB_SEC};
 
 struct suspect {
 	uint64_t fingerprint; /* 0: the entry is free */
-	uint64_t victims[CRASHES_MAX];
+	uint64_t victims[VICTIMS_MAX];
 	size_t victim_count;
+	bool refused; /* had CRASHES_MAX victims since the last success */
 	int64_t crashed_us; /* time of the last crash */
+	int64_t cleared_us; /* when a success cleared a report; 0: never */
 };
 
 struct pb_suspects {
 	struct suspect table[SUSPECTS_MAX];
-	struct pb_lru *succeeded; /* fingerprint -> time of the last response */
+	struct pb_lru *succeeded; /* fingerprint -> time of the last success */
 };
 
 struct pb_suspects *
@@ -63,9 +83,28 @@
 
 	h = pb_hash_pair(h, pb_hash(account.data, account.len, 0));
 	h = pb_hash_pair(h, pb_hash(body.data, body.len, 0));
+	h &= ~PART_BIT;
 	return h != 0 ? h : 1;
 }
 
+uint64_t
+pb_part_fingerprint(struct pb_str id)
+{
+	return pb_hash(id.data, id.len, 0) | PART_BIT;
+}
+
+static bool
+is_part(uint64_t fingerprint)
+{
+	return (fingerprint & PART_BIT) != 0;
+}
+
+static const struct lifetime *
+lifetime_of(uint64_t fingerprint)
+{
+	return is_part(fingerprint) ? &part_lifetime : &request_lifetime;
+}
+
 static struct suspect *
 find_suspect(struct pb_suspects *s, uint64_t fingerprint)
 {
@@ -78,7 +117,18 @@
 	return NULL;
 }
 
-/* Takes a free entry, or replaces the entry with the oldest crash. */
+/* Returns true if entry a is replaced before entry b when the table is full. */
+static bool
+is_less_important(const struct suspect *a, const struct suspect *b)
+{
+	if (a->refused != b->refused)
+		return !a->refused;
+	if (is_part(a->fingerprint) != is_part(b->fingerprint))
+		return !is_part(a->fingerprint);
+	return a->crashed_us < b->crashed_us;
+}
+
+/* Takes a free entry, or replaces the least important one. */
 static struct suspect *
 add_suspect(struct pb_suspects *s, uint64_t fingerprint)
 {
@@ -90,7 +140,7 @@
 			entry = &s->table[i];
 			break;
 		}
-		if (s->table[i].crashed_us < entry->crashed_us)
+		if (is_less_important(&s->table[i], entry))
 			entry = &s->table[i];
 	}
 	memset(entry, 0, sizeof(*entry));
@@ -98,6 +148,14 @@
 	return entry;
 }
 
+static struct suspect *
+find_or_add_suspect(struct pb_suspects *s, uint64_t fingerprint)
+{
+	struct suspect *p = find_suspect(s, fingerprint);
+
+	return p != NULL ? p : add_suspect(s, fingerprint);
+}
+
 static bool
 is_victim(const struct suspect *p, uint64_t victim)
 {
@@ -110,48 +168,111 @@
 	return false;
 }
 
-/* Appends a victim; drops the oldest one if there are CRASHES_MAX already. */
+/*
+ * Returns true if a request with the fingerprint succeeded recently. It is then
+ * not the cause of a crash: another request in progress at the instance was.
+ */
+static bool
+has_succeeded(
+    struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
+{
+	const uint64_t *at = pb_find_lru(s->succeeded, fingerprint);
+
+	return at != NULL && pb_now(ctx) - (int64_t)*at < SUCCESS_TTL_US;
+}
+
+static int64_t
+refusal_left(struct pb_context *ctx, const struct suspect *p)
+{
+	int64_t left;
+
+	if (!p->refused)
+		return 0;
+	left = p->crashed_us + lifetime_of(p->fingerprint)->refusal_us -
+	    pb_now(ctx);
+	return left > 0 ? left : 0;
+}
+
+/* Removes crashes that are too old. */
 static void
-add_victim(struct suspect *p, uint64_t victim)
+forget_old_crashes(struct pb_context *ctx, struct suspect *p)
 {
-	if (p->victim_count == CRASHES_MAX) {
-		memmove(&p->victims[0], &p->victims[1],
-		    (CRASHES_MAX - 1) * sizeof(p->victims[0]));
-		p->victim_count--;
-	}
+	if (pb_now(ctx) - p->crashed_us <=
+	    lifetime_of(p->fingerprint)->memory_us)
+		return;
+	p->victim_count = 0;
+	p->refused = false;
+}
+
+/* Returns true if requests with the fingerprint are refused from now on. */
+static bool
+add_victim(struct pb_context *ctx, struct suspect *p, uint64_t victim)
+{
+	bool was_refused = refusal_left(ctx, p) > 0;
+
+	/* A crash after a refusal has ended starts the next refusal. */
+	if (!was_refused && p->refused)
+		p->victim_count = 0;
+	if (p->victim_count == VICTIMS_MAX)
+		return false;
 	p->victims[p->victim_count++] = victim;
+	p->crashed_us = pb_now(ctx);
+	p->refused = p->refused || p->victim_count >= CRASHES_MAX;
+	return p->refused && !was_refused;
 }
 
 /*
- * Returns true if the request received a complete response recently. It is then
- * not the cause of a crash: another request in progress at the instance was.
+ * Marks a suspected prompt part as cleared, so that other routers learn of the
+ * success.
  */
+static void
+clear_part(struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
+{
+	struct suspect *p = find_or_add_suspect(s, fingerprint);
+
+	p->victim_count = 0;
+	p->refused = false;
+	p->cleared_us = pb_now(ctx);
+}
+
 static bool
-has_succeeded(
-    struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
+record_crash(struct pb_context *ctx, struct pb_suspects *s,
+    const struct pb_crash *crash, bool own)
 {
-	const uint64_t *at = pb_find_lru(s->succeeded, fingerprint);
+	struct suspect *p;
 
-	return at != NULL && pb_now(ctx) - (int64_t)*at < CRASH_TTL_US;
+	if (is_part(crash->fingerprint) &&
+	    has_succeeded(ctx, s, crash->fingerprint)) {
+		if (!own)
+			clear_part(ctx, s, crash->fingerprint);
+		return false;
+	}
+	p = find_or_add_suspect(s, crash->fingerprint);
+	forget_old_crashes(ctx, p);
+	if (is_victim(p, crash->victim))
+		return false;
+	if (own && is_part(crash->fingerprint) && p->victim_count > 0 &&
+	    pb_now(ctx) - p->crashed_us < SAME_EVENT_US)
+		return false;
+	return add_victim(ctx, p, crash->victim) &&
+	    !has_succeeded(ctx, s, crash->fingerprint);
 }
 
 bool
 pb_note_crash(struct pb_context *ctx, struct pb_suspects *suspects,
     const struct pb_crash *crash)
 {
-	int64_t now = pb_now(ctx);
-	struct suspect *p = find_suspect(suspects, crash->fingerprint);
+	return record_crash(ctx, suspects, crash, true);
+}
 
-	if (p != NULL && now - p->crashed_us > CRASH_TTL_US)
-		p->victim_count = 0;
-	if (p == NULL)
-		p = add_suspect(suspects, crash->fingerprint);
-	if (is_victim(p, crash->victim))
-		return false;
-	add_victim(p, crash->victim);
-	p->crashed_us = now;
-	return p->victim_count == CRASHES_MAX &&
-	    !has_succeeded(ctx, suspects, crash->fingerprint);
+void
+pb_note_crash_report(struct pb_context *ctx, struct pb_suspects *suspects,
+    const struct pb_crash *report)
+{
+	if (report->victim != PB_NO_VICTIM)
+		record_crash(ctx, suspects, report, false);
+	else if (!has_succeeded(ctx, suspects, report->fingerprint))
+		pb_note_success(ctx, suspects, report->fingerprint);
 }
 
 void
@@ -161,8 +282,12 @@
 	struct suspect *p = find_suspect(suspects, fingerprint);
 
 	pb_set_lru(suspects->succeeded, fingerprint, (uint64_t)pb_now(ctx));
-	if (p != NULL)
+	if (p == NULL)
+		return;
+	if (!is_part(fingerprint))
 		memset(p, 0, sizeof(*p));
+	else if (p->victim_count > 0)
+		clear_part(ctx, suspects, fingerprint);
 }
 
 int64_t
@@ -170,30 +295,64 @@
     struct pb_context *ctx, struct pb_suspects *suspects, uint64_t fingerprint)
 {
 	const struct suspect *p = find_suspect(suspects, fingerprint);
-	int64_t left;
 
-	if (p == NULL || p->victim_count < CRASHES_MAX ||
-	    has_succeeded(ctx, suspects, fingerprint))
+	if (p == NULL || has_succeeded(ctx, suspects, fingerprint))
 		return 0;
-	left = p->crashed_us + REFUSAL_US - pb_now(ctx);
-	return left > 0 ? left : 0;
+	return refusal_left(ctx, p);
 }
 
 size_t
-pb_read_crashes(struct pb_context *ctx, const struct pb_suspects *suspects,
+pb_count_refused(struct pb_context *ctx, struct pb_suspects *suspects)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < SUSPECTS_MAX; i++) {
+		uint64_t fingerprint = suspects->table[i].fingerprint;
+
+		n += fingerprint != 0 &&
+		    pb_refusal_left(ctx, suspects, fingerprint) > 0;
+	}
+	return n;
+}
+
+/* Stores the records of one suspect; returns their number. */
+static size_t
+read_suspect(struct pb_context *ctx, const struct suspect *p,
     struct pb_crash *crashes, size_t cap)
 {
-	int64_t since_us = pb_now(ctx) - SHARE_CRASH_US;
-	size_t i, k, n = 0;
+	int64_t since_us = pb_now(ctx) - SHARE_US;
+	size_t i, n = 0;
+
+	if (p->cleared_us > since_us && n < cap)
+		crashes[n++] = (struct pb_crash){p->fingerprint, PB_NO_VICTIM};
+	if (p->crashed_us < since_us && refusal_left(ctx, p) == 0)
+		return n;
+	for (i = 0; i < p->victim_count && n < cap; i++)
+		crashes[n++] = (struct pb_crash){p->fingerprint, p->victims[i]};
+	return n;
+}
+
+/* Stores the records of prompt parts or those of requests. */
+static size_t
+read_kind(struct pb_context *ctx, const struct pb_suspects *s, bool parts,
+    struct pb_crash *crashes, size_t cap)
+{
+	size_t i, n = 0;
 
 	for (i = 0; i < SUSPECTS_MAX; i++) {
-		const struct suspect *p = &suspects->table[i];
+		const struct suspect *p = &s->table[i];
 
-		if (p->fingerprint == 0 || p->crashed_us < since_us)
-			continue;
-		for (k = 0; k < p->victim_count && n < cap; k++)
-			crashes[n++] =
-			    (struct pb_crash){p->fingerprint, p->victims[k]};
+		if (p->fingerprint != 0 && is_part(p->fingerprint) == parts)
+			n += read_suspect(ctx, p, crashes + n, cap - n);
 	}
 	return n;
 }
+
+size_t
+pb_read_crashes(struct pb_context *ctx, struct pb_suspects *suspects,
+    struct pb_crash *crashes, size_t cap)
+{
+	size_t n = read_kind(ctx, suspects, true, crashes, cap);
+
+	return n + read_kind(ctx, suspects, false, crashes + n, cap - n);
+}
