Reject instance entries with values out of range

Seen: an entry of another writer with slots 2^32 or 2^31, port 70000, no port or a host name was taken for an instance; 22 requests were sent to such entries, each of which lost one of its attempts. Cause: the adapter cast slots to int unchecked, nobody parsed the address before the first connection, and an id with a line end would have added fields to the forwarded head.

--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -94,6 +94,7 @@
 };
 
 /* gateway-net.c */
+/* Parses IP:PORT; returns false if the port is missing or out of range. */
 bool pb_parse_address(
     const char *text, struct sockaddr_storage *addr, int *len);
 /*
--- a/source/gateway/gateway-net.c
+++ b/source/gateway/gateway-net.c
@@ -14,8 +14,13 @@
 bool
 pb_parse_address(const char *text, struct sockaddr_storage *addr, int *len)
 {
+	const struct sockaddr_in *in = (const struct sockaddr_in *)addr;
+	const struct sockaddr_in6 *in6 = (const struct sockaddr_in6 *)addr;
+
 	*len = sizeof(*addr);
-	return evutil_parse_sockaddr_port(text, (struct sockaddr *)addr, len) ==
+	if (evutil_parse_sockaddr_port(text, (struct sockaddr *)addr, len) != 0)
+		return false;
+	return (addr->ss_family == AF_INET ? in->sin_port : in6->sin6_port) !=
 	    0;
 }
 
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -151,6 +151,24 @@
 		gw->instances_fresh_us = fresh_us;
 }
 
+/* Checks what the registry does not: it knows no sockets. */
+static int
+check_address(struct pb_gateway *gw, const struct pb_instance_entry *entry)
+{
+	struct sockaddr_storage addr;
+	char text[PB_INSTANCE_TEXT];
+	int len;
+
+	snprintf(text, sizeof(text), "%.*s", (int)entry->address.len,
+	    entry->address.data);
+	if (entry->address.len < sizeof(text) &&
+	    pb_parse_address(text, &addr, &len))
+		return PB_OK;
+	return pb_set_error(gw->ctx, PB_EPROTO, "read instance", NULL,
+	    "the address of instance entry %.*s is not IP:PORT",
+	    (int)entry->id.len, entry->id.data);
+}
+
 static void
 on_instance_row(struct pb_gateway *gw, struct pb_arena *arena,
     const struct pb_store_row *row)
@@ -160,6 +178,8 @@
 
 	if (!row->removed)
 		rc = gw->adapter->read_instance(gw->ctx, arena, row, &entry);
+	if (rc == PB_OK)
+		rc = check_address(gw, &entry);
 	if (rc == PB_OK)
 		rc = pb_apply_instance(gw->ctx, gw->registry, &entry);
 	if (rc == PB_OK)
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -119,9 +119,16 @@
 	dst[src.len] = '\0';
 }
 
+/* The texts become parts of header fields, so they must be visible ASCII. */
 static bool
 is_valid_text(struct pb_str text)
 {
+	size_t i;
+
+	for (i = 0; i < text.len; i++) {
+		if (text.data[i] <= ' ' || text.data[i] > '~')
+			return false;
+	}
 	return text.len > 0 && text.len < PB_INSTANCE_TEXT;
 }
 
@@ -228,7 +235,7 @@
 	    !is_valid_text(entry->address) ||
 	    entry->domain.len >= PB_INSTANCE_TEXT)
 		return pb_set_error(ctx, PB_EINVAL, "list instances", NULL,
-		    "entry has an empty or oversized field");
+		    "entry has an empty, oversized or unprintable field");
 	inst = find_or_add_instance(ctx, registry, entry);
 	if (inst == NULL)
 		return pb_set_error(
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -618,10 +618,32 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/* Guards against an id that adds header fields to forwarded requests. */
+static void
+test_unprintable_id(void)
+{
+	static const struct pb_str bad[] = {
+	    {"i\r\nX-Y: 1", 9}, {"a b", 3}, {"a\0b", 3}, {"\303\244", 2}};
+	struct pb_registry *reg = new_test_registry(0);
+	size_t i;
+
+	for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+		struct pb_instance_entry e = {.id = bad[i],
+		    .service = pb_str_from("s"),
+		    .address = pb_str_from("127.0.0.1:80"),
+		    .domain = pb_str_from("a"),
+		    .slots = 8};
+
+		CU_ASSERT_NOT_EQUAL(pb_apply_instance(ctx, reg, &e), PB_OK);
+	}
+	CU_ASSERT_EQUAL(pb_count_instances(reg), 0);
+	pb_drop_registry(ctx, reg);
+}
+
 int
 main(void)
 {
-	static CU_TestInfo tests[] = {
+	static CU_TestInfo tests[] = {{"unprintable id", test_unprintable_id},
 	    {"one instance per prefix", test_one_instance_per_prefix},
 	    {"hot prefix", test_hot_prefix},
 	    {"reported load", test_reported_load},
--- a/tests/test-routing.c
+++ b/tests/test-routing.c
@@ -164,7 +164,18 @@
 	    "{\"service\":5,\"address\":\"h:1\",\"zone\":\"z\","
 	    "\"slots\":8,\"state\":\"ready\"}",
 	    "{\"service\":\"s\",\"zone\":\"z\",\"slots\":8,"
-	    "\"state\":\"ready\"}"};
+	    "\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":4294967296,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":2147483648,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":1e300,\"state\":\"ready\"}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\","
+	    "\"born\":99999999999999999999999}",
+	    "{\"service\":\"s\",\"address\":\"h:1\",\"zone\":\"z\","
+	    "\"slots\":8,\"state\":\"ready\",\"born\":-5}"};
 	struct pb_arena *arena = pb_new_arena(ctx);
 	struct pb_instance_entry e;
 	size_t i;
