Keep following the list beside a row that cannot be read

Seen: with one row of another writer whose value is not base64, a running router stopped following the list of instances, and a router that started never became ready (gateway-odd-entries.sh: 9 of 11 instances known, not ready after 10 s). Cause: one undecodable value failed the whole page, and the listing that followed failed in the same way. Change: such a row is marked and logged, and counts as malformed by itself; a listing continues after any key by its length.

--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -71,8 +71,10 @@
 
 struct pb_store_row {
 	struct pb_str key;
-	struct pb_str value; /* decoded; empty if the row was removed */
+	/* Decoded; empty if the row was removed or its value is unreadable. */
+	struct pb_str value;
 	bool removed;
+	bool unreadable; /* the value is missing or has another encoding */
 	int64_t version; /* store version of the last change of the row */
 };
 
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -128,7 +128,8 @@
     const struct pb_store_row *row)
 {
 	(void)arena;
-	if (!row->removed && gw->adapter->is_routing_key(row->key))
+	if (!row->removed && !row->unreadable &&
+	    gw->adapter->is_routing_key(row->key))
 		pb_apply_routing_row(gw, row->value, row->version);
 }
 
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -50,6 +50,7 @@
 	/* Minimum time between requests after a large response; 0: none. */
 	int64_t large_pause_us;
 	char after[256]; /* key after which the listing continues */
+	size_t after_len; /* 0: the listing starts with the first row */
 	bool listing; /* the call in progress is a listing */
 	bool must_list;
 	bool no_hold; /* the store must not hold the next request */
@@ -65,7 +66,7 @@
 restart_listing(struct pb_watch *w)
 {
 	w->must_list = true;
-	w->after[0] = '\0';
+	w->after_len = 0;
 }
 
 /* Returns true if the instance watch is retrying for this one. */
@@ -147,8 +148,16 @@
 {
 	size_t i;
 
-	for (i = 0; i < page->count; i++)
-		w->ops->apply_row(w->gw, arena, &page->rows[i]);
+	for (i = 0; i < page->count; i++) {
+		const struct pb_store_row *row = &page->rows[i];
+
+		if (row->unreadable)
+			pb_log(w->gw->ctx, PB_WARN, "watch store",
+			    w->gw->settings.store, NULL,
+			    "value of row %.*s in %s is not readable",
+			    (int)row->key.len, row->key.data, w->ops->name);
+		w->ops->apply_row(w->gw, arena, row);
+	}
 }
 
 static void
@@ -171,7 +180,7 @@
 apply_listing(struct pb_watch *w, struct pb_arena *arena,
     const struct pb_store_page *page)
 {
-	if (w->after[0] == '\0') {
+	if (w->after_len == 0) {
 		notify_fresh(w, w->list_sent_us);
 		/* Requests for changes deliver all later versions. */
 		w->version = page->version;
@@ -182,13 +191,13 @@
 	if (page->more && page->count > 0) {
 		struct pb_str key = page->rows[page->count - 1].key;
 
-		if (key.len < sizeof(w->after)) {
+		if (key.len <= sizeof(w->after)) {
 			memcpy(w->after, key.data, key.len);
-			w->after[key.len] = '\0';
+			w->after_len = key.len;
 			return;
 		}
 	}
-	w->after[0] = '\0';
+	w->after_len = 0;
 	w->must_list = false;
 	w->listed_us = w->list_sent_us;
 	if (w->ops->end_listing != NULL)
@@ -296,7 +305,7 @@
 	w->large_pause_us = compute_large_pause(w);
 	next = w->sent_us + max_us(w->ops->period_us, w->large_pause_us) -
 	    pb_now(ctx);
-	if (next <= 0 || w->after[0] != '\0' || w->more)
+	if (next <= 0 || w->after_len != 0 || w->more)
 		start_request(w);
 	else
 		pb_set_timer(w->timer, next);
@@ -366,8 +375,8 @@
 	if (!w->listing)
 		return gw->adapter->append_watch(buf, gw->settings.store,
 		    w->ops->table, w->version, (int)(w->wait_us / PB_MSEC));
-	return gw->adapter->append_list(
-	    buf, gw->settings.store, w->ops->table, pb_str_from(w->after));
+	return gw->adapter->append_list(buf, gw->settings.store, w->ops->table,
+	    (struct pb_str){w->after, w->after_len});
 }
 
 static void
@@ -387,7 +396,7 @@
 	w->sent_us = now;
 	w->wait_us = w->listing ? 0 : compute_wait(w);
 	w->no_hold = false;
-	if (w->listing && w->after[0] == '\0')
+	if (w->listing && w->after_len == 0)
 		w->list_sent_us = now;
 	link = pb_take_link(gw, gw->store);
 	if (link == NULL || append_request(w, &buf) != PB_OK ||
@@ -424,7 +433,7 @@
 		return;
 	evtimer_del(watch->timer);
 	pb_cancel_call(&watch->call);
-	watch->after[0] = '\0';
+	watch->after_len = 0;
 	watch->must_list = false;
 	watch->failing_us = 0; /* unknown while no requests are sent */
 	watch->paused = true;
--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -9,6 +9,8 @@
  *   PUT /control/row/TABLE/KEY     stores the body as the value of the row
  *   GET /control/row/TABLE/KEY     returns the value of the row in base64
  *   DELETE /control/row/TABLE/KEY  deletes the row
+ *   PUT /control/raw/TABLE/KEY     stores the body as the value of the row, as
+ *                                  it is instead of in base64
  *   PUT /control/rows/TABLE        stores a row for each line of the body: a
  *                                  key, a space and the value
  *   PUT /control/mode              sets the mode that the body names
@@ -538,6 +540,21 @@
 	send_reply(req, 200, NULL);
 }
 
+static void
+control_raw(struct store *s, struct evhttp_request *req, const char *path)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	char table[NAME_MAX_LEN], key[NAME_MAX_LEN], value[1024] = "";
+
+	if (sscanf(path, "/control/raw/%79[^/]/%79s", table, key) != 2) {
+		send_reply(req, 400, NULL);
+		return;
+	}
+	evbuffer_remove(in, value, sizeof(value) - 1);
+	put_row(s, table, key, value);
+	send_reply(req, 200, NULL);
+}
+
 static void
 send_number(struct evhttp_request *req, long long n)
 {
@@ -553,6 +570,8 @@
 {
 	if (strncmp(path, "/control/row/", 13) == 0) {
 		control_row(s, req, path);
+	} else if (strncmp(path, "/control/raw/", 13) == 0) {
+		control_raw(s, req, path);
 	} else if (strncmp(path, "/control/rows/", 14) == 0) {
 		control_rows(s, req, path + 14);
 	} else if (strcmp(path, "/control/mode") == 0) {
