Read the entries of the instance list one by one

Seen: poplarbeamd stopped following the list while one entry had a number out of range, a NUL or was nested too deeply; an entry with port 70000 was taken. Cause: the parser rejects the whole document for one such value; the port was never checked. Change: the array's elements are found without parsing and parsed one by one; a list that is cut short is still refused as a whole. Addresses need a port from 1 to 65535. Result: test-hostile failed before with the first odd entry and passes; the gateway reads each entry from a row of its own and did not have this fault.

--- a/source/platform/platform-http.h
+++ b/source/platform/platform-http.h
@@ -64,6 +64,18 @@
 /* Appends src percent-encoded, but keeps slashes when keep_slash is set. */
 int pb_append_escaped(struct pb_buf *buf, const char *src, bool keep_slash);
 
+/* platform-split.c */
+/*
+ * Finds the member of a JSON object that is an array. Returns false if there is
+ * none or the document is cut short.
+ */
+bool pb_find_array(struct pb_str text, const char *name, struct pb_str *array);
+/*
+ * Stores the text of the array's next element, which may be malformed. *at is 0
+ * before the first call. Returns false after the last element.
+ */
+bool pb_next_element(struct pb_str array, size_t *at, struct pb_str *element);
+
 /*
  * Parses the JSON text of a list of instances and skips malformed entries. The
  * caller frees *out. Returns PB_OK, PB_EPROTO or PB_ENOMEM.
--- a/source/platform/platform-lists.c
+++ b/source/platform/platform-lists.c
@@ -5,6 +5,7 @@
 
 #include "poplarbeam/platform.h"
 
+#define PORT_MAX 65535
 #define INSTANCES_BYTES_MAX ((size_t)16 << 20) /* bytes of the whole list */
 #define OBJECT_BYTES_MAX ((size_t)16 << 20) /* bytes of one object */
 #define PUT_RESPONSE_MAX ((size_t)64 << 10) /* bytes */
@@ -41,6 +42,22 @@
 	return true;
 }
 
+/* Returns true for an empty text and for HOST:PORT. */
+static bool
+is_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char *end;
+	long port;
+
+	if (text[0] == '\0')
+		return true;
+	if (colon == NULL || colon[1] < '0' || colon[1] > '9')
+		return false;
+	port = strtol(colon + 1, &end, 10);
+	return *end == '\0' && port > 0 && port <= PORT_MAX;
+}
+
 static bool
 read_role(const json_t *src, struct pb_instance *in)
 {
@@ -78,24 +95,50 @@
 	    copy_member(src, "peer", in->peer, sizeof(in->peer)) &&
 	    copy_member(src, "rpc", in->rpc, sizeof(in->rpc)) &&
 	    copy_member(src, "admin", in->admin, sizeof(in->admin)) &&
-	    in->id[0] != '\0' && in->address[0] != '\0';
+	    in->id[0] != '\0' && in->address[0] != '\0' &&
+	    is_address(in->address) && is_address(in->peer) &&
+	    is_address(in->rpc) && is_address(in->admin);
 }
 
-/* Skips malformed entries, so that one does not invalidate the whole list. */
+static bool
+read_element(struct pb_str element, struct pb_instance *in)
+{
+	json_t *item = json_loadb(element.data, element.len, 0, NULL);
+	bool ok = item != NULL && read_instance(item, in);
+
+	json_decref(item);
+	return ok;
+}
+
+static size_t
+count_elements(struct pb_str items)
+{
+	struct pb_str element;
+	size_t at = 0, n = 0;
+
+	while (pb_next_element(items, &at, &element))
+		n++;
+	return n;
+}
+
+/*
+ * Skips malformed entries, so that one does not invalidate the whole list. Each
+ * is parsed by itself, because the parser rejects a whole document for one
+ * number out of range or one value nested too deeply.
+ */
 static int
-read_instances(struct pb_context *ctx, const char *peer, const json_t *items,
+read_instances(struct pb_context *ctx, const char *peer, struct pb_str items,
     struct pb_instance **out, size_t *count)
 {
-	size_t i, total = json_array_size(items);
-	json_t *item;
+	size_t i, at = 0, total = count_elements(items);
+	struct pb_str element;
 
 	*out = calloc(total > 0 ? total : 1, sizeof(**out));
 	if (*out == NULL)
 		return pb_set_error(
 		    ctx, PB_ENOMEM, "instances", peer, "out of memory");
-	json_array_foreach(items, i, item)
-	{
-		if (read_instance(item, &(*out)[*count]))
+	for (i = 0; pb_next_element(items, &at, &element); i++) {
+		if (read_element(element, &(*out)[*count]))
 			(*count)++;
 		else
 			pb_log(ctx, PB_WARN, "instances", peer, NULL,
@@ -109,19 +152,14 @@
 pb_parse_instances(struct pb_context *ctx, const char *peer, struct pb_str text,
     struct pb_instance **out, size_t *count)
 {
-	json_t *root = json_loadb(text.data, text.len, 0, NULL);
-	const json_t *items = json_object_get(root, "instances");
-	int rc;
+	struct pb_str items;
 
 	*out = NULL;
 	*count = 0;
-	if (json_is_array(items))
-		rc = read_instances(ctx, peer, items, out, count);
-	else
-		rc = pb_set_error(ctx, PB_EPROTO, "instances", peer,
+	if (!pb_find_array(text, "instances", &items))
+		return pb_set_error(ctx, PB_EPROTO, "instances", peer,
 		    "the response has no list of instances");
-	json_decref(root);
-	return rc;
+	return read_instances(ctx, peer, items, out, count);
 }
 
 static int
--- a/tests/test-hostile.c
+++ b/tests/test-hostile.c
@@ -279,6 +279,64 @@
 	free(list);
 }
 
+/*
+ * Guards against one entry that hides all others, or sends requests to a port
+ * that does not exist.
+ */
+static void
+test_odd_instance(void)
+{
+	static const char *const odd[] = {
+	    "\"incarnation\":99999999999999999999", "\"x\":1e999",
+	    "\"x\":\"\\u0000\"", "\"address\":\"h:70000\"",
+	    "\"address\":\"h:0\"", "\"address\":\"h\"", "\"peer\":\"h:-1\"",
+	    "\"x\":\"]},{\\\"\"", "\"x\":\"\xff\""};
+	static const char fmt[] =
+	    "{\"instances\":[ {\"id\":\"a\",\"role\":\"upstream\","
+	    "\"state\":\"live\",\"address\":\"h:1\"}, "
+	    "{\"id\":\"odd\",\"role\":\"upstream\",\"state\":\"live\",%s%s},\n"
+	    "{\"id\":\"b\",\"role\":\"upstream\",\"state\":\"live\","
+	    "\"address\":\"h:2\"}], \"more\":[1]}";
+	char deep[6000], text[8000];
+	struct pb_instance *list;
+	size_t i, count;
+
+	memset(deep, '[', 2999);
+	memset(deep + 2999, ']', 3000);
+	deep[sizeof(deep) - 1] = '\0';
+	for (i = 0; i <= sizeof(odd) / sizeof(odd[0]); i++) {
+		bool last = i == sizeof(odd) / sizeof(odd[0]);
+
+		snprintf(text, sizeof(text), fmt, last ? "\"x\":[" : odd[i],
+		    last ? deep : "");
+		count = 0;
+		CU_ASSERT_EQUAL(pb_parse_instances(ctx, "list",
+				    pb_str_from(text), &list, &count),
+		    PB_OK);
+		CU_ASSERT_EQUAL_FATAL(count, 2);
+		CU_ASSERT_STRING_EQUAL(list[1].id, "b");
+		free(list);
+	}
+}
+
+/* Guards against a list that was cut short and taken for a shorter list. */
+static void
+test_cut_instances(void)
+{
+	static const char text[] =
+	    "{\"instances\":[{\"id\":\"a\",\"role\":\"upstream\","
+	    "\"state\":\"live\",\"address\":\"h:1\"}]}";
+	struct pb_instance *list;
+	size_t count, len;
+
+	for (len = 0; len < sizeof(text) - 1; len++) {
+		CU_ASSERT_NOT_EQUAL(
+		    pb_parse_instances(
+			ctx, "list", (struct pb_str){text, len}, &list, &count),
+		    PB_OK);
+	}
+}
+
 /* Guards against a stored outcome that corrupts the response when replayed. */
 static void
 test_claim_row(void)
@@ -329,8 +387,10 @@
 	static CU_TestInfo tests[] = {{"caller", test_caller},
 	    {"long target", test_long_target}, {"relay", test_relay},
 	    {"answer head", test_response_head}, {"load report", test_report},
-	    {"instances", test_instances}, {"claim row", test_claim_row},
-	    {"boot", test_boot}, CU_TEST_INFO_NULL};
+	    {"instances", test_instances}, {"odd instance", test_odd_instance},
+	    {"cut list of instances", test_cut_instances},
+	    {"claim row", test_claim_row}, {"boot", test_boot},
+	    CU_TEST_INFO_NULL};
 	int rc;
 
 	ctx = pb_new_context(pb_system_clock(), NULL);
