Take a stream that ends within an event for broken

Seen: an instance may send a stream without a length or chunks, which ends with its connection. One that broke within an event, or before the first one, was passed on as complete, with the torn event at its end. Cause: the end of the connection counted as the end of the stream wherever it came, and what was left of an event was sent with it. Change: a stream that ends within an event, or with its connection before the first event, is a broken attempt: it is resumed, or its caller's connection breaks. It may be the trace of a crash, so it counts as one, and such a stream does not clear the parts of its prompt.

--- a/include/poplarbeam/http.h
+++ b/include/poplarbeam/http.h
@@ -28,6 +28,8 @@
 	enum http_method method;
 	int status;
 	bool keep_alive; /* the connection can carry another message */
+	bool
+	    until_close; /* a body without a length: ends with the connection */
 };
 
 enum pb_http_error {
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -250,6 +250,7 @@
 	note_load(x);
 	x->status = h->status;
 	x->streaming = h->status == 200 && is_event_stream(h);
+	x->until_close = h->until_close;
 	/* The length of each event is limited instead of the stream's. */
 	if (x->streaming)
 		call->link->reader.body_max = SIZE_MAX;
@@ -353,12 +354,43 @@
 	pb_fail_exchange(x, 502, why);
 }
 
+/*
+ * Returns true if a stream that seems complete has been cut off: it ended
+ * within an event, or with its connection before the first event.
+ */
+static bool
+is_cut_stream(const struct pb_exchange *x)
+{
+	return x->streaming && !x->unusable &&
+	    (x->response.len > 0 ||
+		(x->until_close && x->attempt_event_us == 0));
+}
+
+/* Handles an attempt that broke after its request was sent. */
+static void
+handle_broken_attempt(struct pb_exchange *x, bool may_be_crash)
+{
+	x->may_have_run = true;
+	pb_note_outcome(x->gw->ctx, x->gw->registry, x->instance, true);
+	if (may_be_crash)
+		pb_note_broken_attempt(x);
+	if (x->repeatable && pb_take_attempt(x))
+		pb_next_attempt(x);
+	else
+		fail_request(x, "connection broken");
+}
+
 static void
 on_done(struct pb_link_call *call)
 {
 	struct pb_exchange *x = (struct pb_exchange *)call;
 	bool failed = is_failure(x);
 
+	if (is_cut_stream(x)) {
+		log_failed_attempt(x, "stream cut off");
+		handle_broken_attempt(x, x->until_close);
+		return;
+	}
 	pb_note_outcome(x->gw->ctx, x->gw->registry, x->instance, failed);
 	if (!failed) {
 		pb_note_sound_request(x);
@@ -385,7 +417,6 @@
 on_failed(struct pb_link_call *call, enum pb_link_failure failure)
 {
 	struct pb_exchange *x = (struct pb_exchange *)call;
-	struct pb_gateway *gw = x->gw;
 
 	log_failed_attempt(x,
 	    failure == PB_LINK_NOT_REACHED  ? "connection not established"
@@ -393,18 +424,11 @@
 					    : "response is not valid HTTP");
 	if (failure == PB_LINK_NOT_REACHED) {
 		x->attempts--;
-		pb_note_unreachable(gw->ctx, x->instance);
+		pb_note_unreachable(x->gw->ctx, x->instance);
 		pb_next_attempt(x);
 		return;
 	}
-	x->may_have_run = true;
-	pb_note_outcome(gw->ctx, gw->registry, x->instance, true);
-	if (failure == PB_LINK_BROKEN)
-		pb_note_broken_attempt(x);
-	if (x->repeatable && pb_take_attempt(x))
-		pb_next_attempt(x);
-	else
-		fail_request(x, "connection broken");
+	handle_broken_attempt(x, failure == PB_LINK_BROKEN);
 }
 
 static const struct pb_link_call_ops call_ops = {
--- a/source/gateway/gateway-contain.c
+++ b/source/gateway/gateway-contain.c
@@ -64,8 +64,11 @@
 	struct pb_gateway *gw = x->gw;
 
 	pb_note_success(gw->ctx, gw->suspects, x->fingerprints[0]);
-	/* An instance may reject a request before it reads the prompt. */
-	if (x->status < 300)
+	/*
+	 * An instance may reject a request before it reads the prompt. A stream
+	 * that ends with its connection may have ended by a crash.
+	 */
+	if (x->status < 300 && !(x->streaming && x->until_close))
 		clear_parts(x);
 }
 
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -558,6 +558,7 @@
 	/* Bytes of response that are counted in gw->buffered. */
 	size_t response_counted_bytes;
 	bool streaming; /* events are forwarded as they arrive */
+	bool until_close; /* ends with the connection, without a length */
 	bool started; /* the response head was sent to the caller */
 	bool unusable; /* not intact, or not the upstream's own response */
 	bool has_last_event;
--- a/source/http/http-reader.c
+++ b/source/http/http-reader.c
@@ -160,6 +160,8 @@
 	r->head.method = parser->method;
 	r->head.status = parser->status_code;
 	r->head.keep_alive = http_should_keep_alive(parser) != 0;
+	r->head.until_close = parser->type == HTTP_RESPONSE &&
+	    (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 	if (r->ops != NULL && r->ops->head != NULL)
 		r->ops->head(r);
 	return r->no_body ? 1 : 0;
