Obey what an instance says of itself in its answers

Seen: an instance that answered with Server-Leaving went on to get half of the requests while its entry said ready; one that answered 503 with Retry-After got requests within the time that it had asked for, and callers were told a random time instead of that time. Cause: the gateway read neither field. Change: both are decoded in platform/ from the head of every answer. Leaving closes the instance to new requests for its incarnation, beyond entries that expire and return. A pause closes it to this router until it ends, then requests return one by one up to its slots within two seconds; its refusal does not count as a failure. If all instances of a service pause, a request waits by rank if the first pause ends within half of its time left, and is refused at once with the true time otherwise.

--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -44,6 +44,10 @@
 	bool sealed; /* has the digest field of an upstream */
 	bool not_run; /* the upstream did not run the request */
 	bool encoded; /* the body is not as the upstream sent it */
+	bool leaving; /* the upstream will take no new requests */
+	/* How long the upstream asks for no requests; 0: not given. */
+	int64_t pause_us;
+	bool pause_unreadable; /* given in an unknown format */
 	bool has_load;
 	bool load_unreadable; /* the load field has an unknown format */
 	int running; /* requests */
--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -64,6 +64,10 @@
 	bool load_unreadable; /* load reports cannot be parsed */
 	bool report_shared; /* the last report came from another router */
 	int64_t avoid_until_us; /* unreachable: avoided until then */
+	bool leaving; /* has said so in an answer */
+	int64_t leaving_us; /* when it first said so */
+	int64_t paused_until_us; /* has asked for no requests; 0: never */
+	bool pause_ended; /* the end of the pause has been logged */
 	struct pb_attempt_counts own; /* attempts of this router */
 	/* Known attempts of all routers of the failure domain. */
 	struct pb_attempt_counts shared;
@@ -118,7 +122,39 @@
 /* Removes the instances whose deferred removal is due. */
 void pb_expire_instances(struct pb_context *ctx, struct pb_registry *registry);
 
-/* Returns the number of listed instances that are not draining. */
+/*
+ * Records that the instance has said in an answer that it is leaving. It takes
+ * no new requests from then on, until another incarnation is listed under its
+ * id; the list does not change that. Returns false if that was known.
+ */
+bool pb_note_leaving(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_instance *instance);
+/*
+ * Records that the instance has asked for no requests for this time, for its
+ * present incarnation. Returns the time until it takes requests again, which
+ * may be longer after an earlier answer and is limited to ten minutes.
+ */
+int64_t pb_note_pause(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_instance *instance, int64_t pause_us);
+/* Logs the pauses that have ended. */
+void pb_end_pauses(struct pb_context *ctx, struct pb_registry *registry);
+/*
+ * Returns the time until an instance of the service takes requests again, if
+ * none does and one has asked for a pause; otherwise 0.
+ */
+int64_t pb_reopening_left(struct pb_context *ctx,
+    const struct pb_registry *registry, struct pb_str service);
+
+/* Instances that take no requests by their own word. */
+struct pb_closed_counts {
+	size_t leaving;
+	size_t paused;
+};
+
+struct pb_closed_counts pb_count_closed(
+    struct pb_context *ctx, const struct pb_registry *registry);
+
+/* Returns the number of instances that are neither draining nor leaving. */
 size_t pb_count_instances(const struct pb_registry *registry);
 struct pb_instance *pb_find_instance(
     const struct pb_registry *registry, struct pb_str id);
@@ -293,11 +329,15 @@
 
 /* Details of a placement decision, for admission and the log. */
 struct pb_placement_facts {
-	size_t candidates; /* instances of the service that are not draining */
+	size_t candidates; /* instances of the service that take requests */
 	/* Candidates that are reachable, not failing and not on trial. */
 	size_t healthy;
 	int64_t slots; /* sum over all candidates */
-	bool full; /* no instance selected: all are at the fill limit */
+	/* No instance selected: all are at a limit or have asked for a pause.
+	 */
+	bool full;
+	/* When the first one takes requests again, if all paused; else 0. */
+	int64_t reopens_us;
 	double mean; /* mean estimated load of a candidate, requests */
 	double estimate; /* load of the selected instance, requests */
 	int64_t report_age_us; /* of the selected instance; -1: no report */
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -108,6 +108,9 @@
 static void
 fail_request(struct pb_exchange *x, const char *why)
 {
+	if (x->retry_after_us == 0)
+		x->retry_after_us =
+		    pb_reopening_left(x->gw->ctx, x->gw->registry, x->service);
 	pb_fail_exchange(x, x->may_have_run ? 502 : 503, why);
 }
 
@@ -137,7 +140,7 @@
 	}
 	inst = pb_choose_for_exchange(x, &facts);
 	if (inst == NULL && facts.full) {
-		pb_wait_for_slot(x);
+		pb_wait_for_slot(x, &facts);
 		return;
 	}
 	if (inst == NULL) {
@@ -236,11 +239,14 @@
 	struct pb_exchange *x = (struct pb_exchange *)call;
 	const struct pb_http_head *h = &call->link->reader.head;
 	struct pb_response_info *info = &x->info;
+	bool is_other_answer;
 
 	x->gw->adapter->read_response(h, info);
 	x->progress_us = pb_now(x->gw->ctx);
-	if (info->request_id.len > 0 &&
-	    !pb_str_equal(info->request_id, x->request_id)) {
+	is_other_answer = info->request_id.len > 0 &&
+	    !pb_str_equal(info->request_id, x->request_id);
+	pb_note_instance_word(x, h->status, !is_other_answer);
+	if (is_other_answer) {
 		pb_log(x->gw->ctx, PB_WARN, "read answer", x->instance->id,
 		    NULL,
 		    "response carries the ID of another request; discarded");
@@ -391,7 +397,10 @@
 		handle_broken_attempt(x, x->until_close);
 		return;
 	}
-	pb_note_outcome(x->gw->ctx, x->gw->registry, x->instance, failed);
+	/* An instance that asks for a pause has not failed. */
+	if (x->info.pause_us == 0)
+		pb_note_outcome(
+		    x->gw->ctx, x->gw->registry, x->instance, failed);
 	if (!failed) {
 		pb_note_sound_request(x);
 		deliver_response(x);
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -73,6 +73,7 @@
 	pb_enforce_memory_limit(gw);
 	pb_answer_held_polls(gw);
 	pb_expire_instances(gw->ctx, gw->registry);
+	pb_end_pauses(gw->ctx, gw->registry);
 	pb_continue_stop(gw);
 	if (file_time_ns(gw->path) != gw->settings_time_ns)
 		reload(gw, "file changed");
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -276,7 +276,8 @@
 	if (now >= x->deadline_us)
 		expire_exchange(x);
 	else if (x->waiter.queued && now >= x->wait_end_us)
-		pb_fail_exchange(x, 503, "no room in time");
+		pb_fail_exchange(
+		    x, x->may_have_run ? 502 : 503, "no room in time");
 	else if (x->call.link == NULL || now < at)
 		pb_arm_exchange(x);
 	else if (now >= find_stream_end(x))
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -89,6 +89,9 @@
 	int64_t buffered; /* bytes of requests and responses in progress */
 	int64_t unreadable_loads; /* responses with an unreadable load */
 	int64_t broken_attempts; /* connections that broke during an attempt */
+	int64_t leaving_marks; /* instances that said that they are leaving */
+	int64_t pause_marks; /* answers that asked for a pause */
+	int64_t unreadable_pauses; /* such answers without a readable time */
 	int64_t stop_us; /* start of the stop in progress; 0: none */
 	bool last_ready; /* result of the last readiness check */
 };
@@ -483,8 +486,12 @@
  */
 struct pb_instance *pb_choose_for_exchange(
     struct pb_exchange *x, struct pb_placement_facts *facts);
-/* Queues an exchange for which no instance has a free slot, or refuses it. */
-void pb_wait_for_slot(struct pb_exchange *x);
+/*
+ * Queues an exchange for which no instance has a free slot, or refuses it if it
+ * cannot be served in time. facts: of the choice that found none.
+ */
+void pb_wait_for_slot(
+    struct pb_exchange *x, const struct pb_placement_facts *facts);
 /* Sets the rank of the exchange. Its route, account and budget must be set. */
 void pb_set_rank(struct pb_exchange *x);
 /*
@@ -592,6 +599,14 @@
 /* Returns true if another attempt is allowed, and charges the retry budget. */
 bool pb_take_attempt(struct pb_exchange *x);
 
+/* gateway-word.c */
+/*
+ * Applies what the instance says of itself in the head of an answer, which is
+ * in x->info. is_own_answer: the answer belongs to this request.
+ */
+void pb_note_instance_word(
+    struct pb_exchange *x, int status, bool is_own_answer);
+
 /* gateway-contain.c: limits requests that crash the instances they run on. */
 /* Sets the fingerprints. The body and the account must be set. */
 void pb_set_fingerprints(struct pb_exchange *x);
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -92,8 +92,8 @@
 	    evbuffer_get_length(bufferevent_get_input(link->bev)) > 0 ||
 	    evbuffer_get_length(bufferevent_get_output(link->bev)) > 0)
 		return false;
-	return !inst->gone && !inst->draining && inst->idle_count < IDLE_MAX &&
-	    link->gw->stop_us == 0;
+	return !inst->gone && !inst->draining && !inst->leaving &&
+	    inst->idle_count < IDLE_MAX && link->gw->stop_us == 0;
 }
 
 static void
--- a/source/gateway/gateway-metrics.c
+++ b/source/gateway/gateway-metrics.c
@@ -100,6 +100,7 @@
 format_state(const struct pb_gateway *gw, struct pb_buf *buf)
 {
 	int64_t now = pb_now(gw->ctx);
+	struct pb_closed_counts closed = pb_count_closed(gw->ctx, gw->registry);
 	const struct pb_exchange *x;
 	const struct pb_service_budget *b;
 	int64_t in_flight = 0;
@@ -118,6 +119,11 @@
 	    "poplarbeam_unreadable_loads_total %lld\n"
 	    "poplarbeam_broken_attempts_total %lld\n"
 	    "poplarbeam_contained %zu\n"
+	    "poplarbeam_instances_leaving %zu\n"
+	    "poplarbeam_instances_paused %zu\n"
+	    "poplarbeam_leaving_marks_total %lld\n"
+	    "poplarbeam_pause_marks_total %lld\n"
+	    "poplarbeam_unreadable_pauses_total %lld\n"
 	    "poplarbeam_configuration_version %lld\n"
 	    "poplarbeam_configuration_age_seconds %.3f\n"
 	    "poplarbeam_instances_age_seconds %.3f\n",
@@ -126,7 +132,9 @@
 	    pb_count_instances(gw->registry),
 	    pb_count_avoided(gw->ctx, gw->registry),
 	    (long long)gw->unreadable_loads, (long long)gw->broken_attempts,
-	    pb_count_refused(gw->ctx, gw->suspects),
+	    pb_count_refused(gw->ctx, gw->suspects), closed.leaving,
+	    closed.paused, (long long)gw->leaving_marks,
+	    (long long)gw->pause_marks, (long long)gw->unreadable_pauses,
 	    gw->routing != NULL ? (long long)gw->routing->version : -1,
 	    (double)(now - gw->routing_fresh_us) / PB_SEC,
 	    (double)(now - gw->instances_fresh_us) / PB_SEC);
--- a/source/gateway/gateway-wait.c
+++ b/source/gateway/gateway-wait.c
@@ -18,6 +18,14 @@
  */
 #define WAIT_TIME_SHARE 0.1
 
+/*
+ * A request waits for the end of a pause if it comes within this fraction of
+ * the time left until its deadline, so that the rest is left for its run.
+ */
+#define PAUSE_TIME_SHARE 0.5
+/* Requests that wait for the end of a pause, per service. */
+#define PAUSE_WAITERS_MAX 256
+
 void
 pb_set_rank(struct pb_exchange *x)
 {
@@ -105,8 +113,45 @@
 	return wait < left ? wait : left;
 }
 
+/*
+ * Queues an exchange until the first paused instance takes requests again, if
+ * enough time is left then.
+ */
+static void
+wait_for_reopening(struct pb_exchange *x, int64_t reopens_us)
+{
+	struct pb_gateway *gw = x->gw;
+	struct pb_admission *a = x->budget->admission;
+	int64_t now = pb_now(gw->ctx);
+	int64_t last =
+	    now + (int64_t)((double)(x->deadline_us - now) * PAUSE_TIME_SHARE);
+	size_t waiting = pb_count_waiters(a);
+	bool joined = reopens_us < last && waiting < PAUSE_WAITERS_MAX;
+
+	x->waiter.owner = x;
+	if (joined)
+		joined = pb_enqueue_waiter(
+		    gw->ctx, a, &x->waiter, x->rank, INT64_MAX);
+	pb_log(gw->ctx, PB_INFO, "wait for room", NULL, x->log_id,
+	    "%s; all instances of service %s have asked for a pause, the first "
+	    "takes requests again in %lld ms; rank %d, %zu requests were "
+	    "waiting",
+	    joined ? "waiting" : "refused", x->budget->service,
+	    (long long)((reopens_us - now) / PB_MSEC), x->rank, waiting);
+	if (!joined) {
+		x->retry_after_us = reopens_us - now;
+		pb_fail_exchange(
+		    x, x->may_have_run ? 502 : 503, "all instances paused");
+		return;
+	}
+	x->wait_end_us = last;
+	pb_arm_exchange(x);
+	if (!evtimer_pending(gw->dispatch_timer, NULL))
+		pb_set_timer(gw->dispatch_timer, DISPATCH_INTERVAL_US);
+}
+
 void
-pb_wait_for_slot(struct pb_exchange *x)
+pb_wait_for_slot(struct pb_exchange *x, const struct pb_placement_facts *facts)
 {
 	struct pb_gateway *gw = x->gw;
 	struct pb_admission *a = x->budget->admission;
@@ -114,6 +159,10 @@
 	size_t waiting = pb_count_waiters(a);
 	bool joined;
 
+	if (facts->reopens_us != 0) {
+		wait_for_reopening(x, facts->reopens_us);
+		return;
+	}
 	x->waiter.owner = x;
 	joined = pb_enqueue_waiter(gw->ctx, a, &x->waiter, x->rank, wait);
 	pb_log(gw->ctx, PB_INFO, "wait for room", NULL, x->log_id,
@@ -125,7 +174,7 @@
 	    pb_find_fill_limit(gw->ctx, a, x->rank), x->budget->service,
 	    waiting);
 	if (!joined) {
-		pb_fail_exchange(x, 503, "no room");
+		pb_fail_exchange(x, x->may_have_run ? 502 : 503, "no room");
 		return;
 	}
 	x->wait_end_us = pb_now(gw->ctx) + wait;
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -59,18 +59,27 @@
 	return false;
 }
 
+/* One selection of an instance. */
+struct search {
+	const struct pb_placement *p;
+	int64_t now;
+	bool last_resort; /* leaving instances are candidates, too */
+};
+
 static bool
-is_candidate(const struct pb_placement *p, const struct pb_instance *inst)
+is_candidate(const struct search *s, const struct pb_instance *inst)
 {
-	return !inst->draining && pb_str_equal_c(p->service, inst->service);
+	return pb_str_equal_c(s->p->service, inst->service) &&
+	    pb_is_open(inst, s->now, s->last_resort);
 }
 
 static bool
-has_room(
-    const struct pb_placement *p, const struct pb_instance *inst, int64_t now)
+has_room(const struct search *s, const struct pb_instance *inst)
 {
-	return p->fill_limit <= 0 || inst->slots <= 0 ||
-	    estimate_load(inst, now) + 1 <= p->fill_limit * inst->slots;
+	if (pb_is_ramping(inst, s->now))
+		return false;
+	return s->p->fill_limit <= 0 || inst->slots <= 0 ||
+	    estimate_load(inst, s->now) + 1 <= s->p->fill_limit * inst->slots;
 }
 
 /* Health that an instance must have to be selected, strictest first. */
@@ -101,20 +110,22 @@
 	size_t healthy_left;
 	size_t not_failing_left;
 	size_t reachable_left;
+	size_t ramping_left;
 };
 
 static struct service_stats
 collect_service_stats(
-    const struct pb_registry *reg, const struct pb_placement *p, int64_t now)
+    const struct pb_registry *reg, const struct search *search)
 {
 	struct service_stats s = {0};
+	int64_t now = search->now;
 	size_t i;
 
 	for (i = 0; i < reg->count; i++) {
 		const struct pb_instance *inst = reg->instances[i];
 		bool healthy, not_failing;
 
-		if (!is_candidate(p, inst))
+		if (!is_candidate(search, inst))
 			continue;
 		healthy = has_health(inst, HEALTH_GOOD, now);
 		not_failing = has_health(inst, HEALTH_NOT_FAILING, now);
@@ -123,8 +134,9 @@
 		s.sum += estimate_load(inst, now);
 		s.healthy += healthy;
 		s.not_failing += not_failing;
-		if (is_excluded(p, inst))
+		if (is_excluded(search->p, inst))
 			continue;
+		s.ramping_left += pb_is_ramping(inst, now);
 		s.healthy_left += healthy;
 		s.not_failing_left += not_failing;
 		s.reachable_left += has_health(inst, HEALTH_REACHABLE, now);
@@ -160,9 +172,10 @@
 
 /* Returns the preferred instance of a prefix with a load below the bound. */
 static struct pb_instance *
-choose_by_prefix(const struct pb_registry *reg, const struct pb_placement *p,
-    enum health required, double bound, int64_t now)
+choose_by_prefix(const struct pb_registry *reg, const struct search *s,
+    enum health required, double bound)
 {
+	const struct pb_placement *p = s->p;
 	struct pb_instance *best = NULL;
 	uint64_t best_score = 0;
 	size_t i;
@@ -171,11 +184,11 @@
 		struct pb_instance *inst = reg->instances[i];
 		uint64_t score;
 
-		if (!is_candidate(p, inst) || is_excluded(p, inst) ||
-		    !has_health(inst, required, now))
+		if (!is_candidate(s, inst) || is_excluded(p, inst) ||
+		    !has_health(inst, required, s->now))
 			continue;
-		if (estimate_load(inst, now) + 1 > bound ||
-		    !has_room(p, inst, now))
+		if (estimate_load(inst, s->now) + 1 > bound ||
+		    !has_room(s, inst))
 			continue;
 		score = prefix_score(p, inst);
 		if (best == NULL || score > best_score) {
@@ -188,9 +201,10 @@
 
 /* Returns the least loaded instance, preferring the own failure domain. */
 static struct pb_instance *
-choose_by_load(const struct pb_registry *reg, const struct pb_placement *p,
-    enum health required, int64_t now)
+choose_by_load(
+    const struct pb_registry *reg, const struct search *s, enum health required)
 {
+	const struct pb_placement *p = s->p;
 	struct pb_instance *best = NULL;
 	double best_cost = DBL_MAX;
 	size_t i;
@@ -199,10 +213,10 @@
 		struct pb_instance *inst = reg->instances[i];
 		double cost;
 
-		if (!is_candidate(p, inst) || is_excluded(p, inst) ||
-		    !has_health(inst, required, now) || !has_room(p, inst, now))
+		if (!is_candidate(s, inst) || is_excluded(p, inst) ||
+		    !has_health(inst, required, s->now) || !has_room(s, inst))
 			continue;
-		cost = estimate_load(inst, now) + pb_next_uniform(p->rnd);
+		cost = estimate_load(inst, s->now) + pb_next_uniform(p->rnd);
 		if (!pb_str_equal_c(p->domain, inst->domain))
 			cost += DOMAIN_PENALTY;
 		if (cost < best_cost) {
@@ -244,36 +258,68 @@
 	return best;
 }
 
+/*
+ * Collects the statistics of the instances that take requests, or if there are
+ * none, of those that have only just begun to leave.
+ */
+static struct service_stats
+begin_search(const struct pb_registry *reg, struct search *search)
+{
+	struct service_stats s = collect_service_stats(reg, search);
+
+	if (s.candidates > 0)
+		return s;
+	search->last_resort = true;
+	return collect_service_stats(reg, search);
+}
+
+/* Sets when a request for which no instance was selected may find one. */
+static void
+set_full(const struct pb_registry *reg, const struct search *search,
+    const struct service_stats *s, struct pb_placement_facts *facts)
+{
+	const struct pb_placement *p = search->p;
+
+	facts->full =
+	    (p->fill_limit > 0 && s->candidates > p->excluded_count) ||
+	    s->ramping_left > 0;
+	if (s->candidates == 0)
+		facts->reopens_us = pb_find_reopening(reg, p->service,
+		    p->excluded, p->excluded_count, search->now);
+	if (facts->reopens_us != 0)
+		facts->full = true;
+}
+
 struct pb_instance *
 pb_choose_instance(struct pb_context *ctx, struct pb_registry *registry,
     const struct pb_placement *placement, struct pb_placement_facts *facts)
 {
-	int64_t now = pb_now(ctx);
-	struct service_stats s =
-	    collect_service_stats(registry, placement, now);
+	struct search search = {placement, pb_now(ctx), false};
+	struct service_stats s = begin_search(registry, &search);
 	double mean = s.candidates > 0 ? s.sum / (double)s.candidates : 0;
 	double bound = AFFINITY_FACTOR * mean + AFFINITY_SLACK;
 	enum health required = choose_required_health(&s, placement->rnd);
 	struct pb_instance *inst = NULL;
 
+	*facts = (struct pb_placement_facts){.report_age_us = -1};
 	if (placement->affinity != 0)
-		inst =
-		    choose_by_prefix(registry, placement, required, bound, now);
+		inst = choose_by_prefix(registry, &search, required, bound);
 	facts->preferred = inst != NULL;
 	if (inst == NULL)
-		inst = choose_by_load(registry, placement, required, now);
-	facts->holder = inst != NULL && placement->affinity != 0
-	    ? find_holder(registry, placement, inst, now)
-	    : NULL;
-	facts->full = inst == NULL && placement->fill_limit > 0 &&
-	    s.candidates > placement->excluded_count;
+		inst = choose_by_load(registry, &search, required);
+	if (inst == NULL)
+		set_full(registry, &search, &s, facts);
+	if (inst != NULL && placement->affinity != 0)
+		facts->holder =
+		    find_holder(registry, placement, inst, search.now);
 	facts->slots = s.slots;
 	facts->candidates = s.candidates;
 	facts->healthy = s.healthy;
 	facts->mean = mean;
-	facts->estimate = inst != NULL ? estimate_load(inst, now) : 0;
-	facts->report_age_us = -1;
-	if (inst != NULL && inst->reported_us != 0)
-		facts->report_age_us = now - inst->reported_us;
+	if (inst == NULL)
+		return NULL;
+	facts->estimate = estimate_load(inst, search.now);
+	if (inst->reported_us != 0)
+		facts->report_age_us = search.now - inst->reported_us;
 	return inst;
 }
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -35,8 +35,41 @@
 	size_t version_count; /* total */
 	int64_t list_version;
 	int64_t avoided_us; /* last time when an instance became failing */
+	/* Incarnations that have said that they leave -> when they said so. */
+	struct pb_lru *leaving;
+	/* Incarnations that have asked for a pause -> its end. */
+	struct pb_lru *paused;
 };
 
+/* Reports that the instance takes no new requests. */
+void pb_notify_closed(
+    struct pb_registry *registry, struct pb_instance *instance);
+/*
+ * Applies what the instance's incarnation has said before, which the list may
+ * have lost meanwhile.
+ */
+void pb_restore_word(
+    struct pb_registry *registry, struct pb_instance *instance);
+bool pb_is_paused(const struct pb_instance *instance, int64_t now);
+/*
+ * Returns true if the instance takes new requests. last_resort: no other
+ * instance does.
+ */
+bool pb_is_open(
+    const struct pb_instance *instance, int64_t now, bool last_resort);
+/*
+ * Returns true if the instance takes no further request now because its pause
+ * has ended only recently.
+ */
+bool pb_is_ramping(const struct pb_instance *instance, int64_t now);
+/*
+ * Returns when the first paused instance of the service that is not excluded
+ * takes requests again, or 0 if there is none.
+ */
+int64_t pb_find_reopening(const struct pb_registry *registry,
+    struct pb_str service, struct pb_instance *const *excluded,
+    size_t excluded_count, int64_t now);
+
 /*
  * Returns true if the attempts of this router or of its failure domain show too
  * many failures.
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -1,8 +1,15 @@
+#include "poplarbeam/lru.h"
 #include "registry-internal.h"
 
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Number of incarnations that are remembered because they are leaving, and of
+ * those that asked for a pause.
+ */
+#define WORDS_MAX 4096
+
 struct pb_registry *
 pb_new_registry(
     struct pb_context *ctx, const struct pb_registry_ops *ops, void *owner)
@@ -11,6 +18,14 @@
 
 	if (registry == NULL)
 		return NULL;
+	registry->leaving = pb_new_lru(ctx, WORDS_MAX);
+	registry->paused = pb_new_lru(ctx, WORDS_MAX);
+	if (registry->leaving == NULL || registry->paused == NULL) {
+		pb_drop_lru(ctx, registry->leaving);
+		pb_drop_lru(ctx, registry->paused);
+		free(registry);
+		return NULL;
+	}
 	registry->ops = ops;
 	registry->owner = owner;
 	registry->epoch = pb_hash_pair((uint64_t)pb_wall_time(ctx),
@@ -46,12 +61,11 @@
 		free(instance);
 }
 
-/* Reports that the instance takes no new requests. */
-static void
-notify_closed(struct pb_registry *registry, struct pb_instance *inst)
+void
+pb_notify_closed(struct pb_registry *registry, struct pb_instance *instance)
 {
 	if (registry->ops != NULL && registry->ops->closed != NULL)
-		registry->ops->closed(registry->owner, inst);
+		registry->ops->closed(registry->owner, instance);
 }
 
 static void
@@ -62,18 +76,19 @@
 	registry->instances[i] = registry->instances[--registry->count];
 	inst->gone = true;
 	pb_record_removal(registry, inst->id);
-	notify_closed(registry, inst);
+	pb_notify_closed(registry, inst);
 	pb_drop_instance(inst);
 }
 
 void
 pb_drop_registry(struct pb_context *ctx, struct pb_registry *registry)
 {
-	(void)ctx;
 	if (registry == NULL)
 		return;
 	while (registry->count > 0)
 		delete_at(registry, registry->count - 1);
+	pb_drop_lru(ctx, registry->leaving);
+	pb_drop_lru(ctx, registry->paused);
 	free(registry->instances);
 	free(registry);
 }
@@ -204,8 +219,10 @@
 	if (find_index(registry, entry->id, &i) &&
 	    is_other_process(registry->instances[i], entry)) {
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
-		    "%s restarted; discarding its load and health",
-		    registry->instances[i]->id);
+		    "%s restarted; discarding its load and health%s",
+		    registry->instances[i]->id,
+		    registry->instances[i]->leaving ? ", and that it is leaving"
+						    : "");
 		delete_at(registry, i);
 	}
 	inst = pb_find_instance(registry, entry->id);
@@ -242,11 +259,12 @@
 		    ctx, PB_ENOMEM, "list instances", NULL, "out of memory");
 	if (update_instance(inst, entry))
 		inst->sequence = ++registry->sequence;
+	pb_restore_word(registry, inst);
 	if (entry->draining && !inst->draining) {
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%s is draining", inst->id);
 		inst->draining = true;
-		notify_closed(registry, inst);
+		pb_notify_closed(registry, inst);
 	}
 	inst->draining = entry->draining;
 	return PB_OK;
@@ -338,6 +356,7 @@
 	size_t i, n = 0;
 
 	for (i = 0; i < registry->count; i++)
-		n += !registry->instances[i]->draining;
+		n += !registry->instances[i]->draining &&
+		    !registry->instances[i]->leaving;
 	return n;
 }
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -42,6 +42,12 @@
  * A request whose prompt prefix has the part "dead" before its last part aborts
  * the process when its response begins, whatever the action.
  *
+ * "GET /say-leaving" adds the header Server-Leaving to all later responses.
+ * "GET /say-pause/TEXT" makes it reject all later requests with status 503, the
+ * header Retry-After with this text, and Not-Executed; "GET /say-pause/" ends
+ * that. "GET /arrivals" lists the id and the time of arrival in Unix
+ * milliseconds of every request.
+ *
  * "GET /runs/REQUEST-ID" returns how often a request was executed, "GET
  * /all-runs" lists the id, the count and the time of the last execution in Unix
  * milliseconds of every request, and "GET /cancelled" returns the number of
@@ -76,6 +82,10 @@
 	const char *action; /* of all requests; NULL: taken from the path */
 	struct run runs[RUNS_MAX];
 	size_t run_count;
+	struct run arrivals[RUNS_MAX]; /* executed or not */
+	size_t arrival_count;
+	bool leaving; /* says so in all responses */
+	char pause[64]; /* Retry-After of all responses; empty: none */
 	int running; /* requests in progress */
 	int cancelled; /* requests closed before they completed */
 };
@@ -170,6 +180,8 @@
 	    "X-Poplarbeam-Instance-Id: %s\r\n"
 	    "X-Poplarbeam-Engine-Load: %d,0,8\r\n",
 	    status, request_id, c->backend->id, c->backend->running);
+	if (c->backend->leaving)
+		evbuffer_add_printf(out, "Server-Leaving: 1\r\n");
 	if (sealed)
 		evbuffer_add_printf(
 		    out, "X-Poplarbeam-Response-Seal: d.%s\r\n", request_id);
@@ -196,6 +208,9 @@
 		send_response_head(c, 503, request_id, false);
 	else
 		evbuffer_add_printf(out, "HTTP/1.1 503 X\r\n");
+	if (c->backend->pause[0] != '\0')
+		evbuffer_add_printf(
+		    out, "Retry-After: %s\r\n", c->backend->pause);
 	evbuffer_add_printf(out,
 	    "X-Poplarbeam-Not-Executed: 1\r\n"
 	    "Content-Length: 0\r\n\r\n");
@@ -478,7 +493,29 @@
 		    b->runs[i].count, b->runs[i].last_ms);
 }
 
-/* Serves the counters that tests read; returns false for other targets. */
+static void
+append_arrivals(const struct backend *b, struct pb_buf *text)
+{
+	size_t i;
+
+	for (i = 0; i < b->arrival_count; i++)
+		pb_append_fmt(text, "%s %lld\n", b->arrivals[i].id,
+		    b->arrivals[i].last_ms);
+}
+
+static void
+record_arrival(struct backend *b, const char *id)
+{
+	struct run *r = &b->arrivals[b->arrival_count];
+
+	if (b->arrival_count == RUNS_MAX)
+		return;
+	pb_copy_str(r->id, sizeof(r->id), id);
+	r->last_ms = wall_ms();
+	b->arrival_count++;
+}
+
+/* Serves the queries of tests; returns false for other targets. */
 static bool
 serve_test_query(struct conn *c, const char *target)
 {
@@ -490,6 +527,13 @@
 		    &text, "%d\n", count_runs(c->backend, target + 6));
 	else if (strcmp(target, "/all-runs") == 0)
 		append_runs(c->backend, &text);
+	else if (strcmp(target, "/arrivals") == 0)
+		append_arrivals(c->backend, &text);
+	else if (strcmp(target, "/say-leaving") == 0)
+		c->backend->leaving = true;
+	else if (strncmp(target, "/say-pause/", 11) == 0)
+		pb_copy_str(
+		    c->backend->pause, sizeof(c->backend->pause), target + 11);
 	else if (strcmp(target, "/cancelled") == 0)
 		pb_append_fmt(&text, "%d\n", c->backend->cancelled);
 	else
@@ -550,9 +594,10 @@
 		read_next_request(c);
 		return;
 	}
+	record_arrival(c->backend, c->request_id);
 	copy_field(h, "Last-Event-Id", last_event_id, sizeof(last_event_id));
 	c->resuming = last_event_id[0] != '\0';
-	if (is_action(c, "full") ||
+	if (c->backend->pause[0] != '\0' || is_action(c, "full") ||
 	    (c->resuming && is_action(c, "torn-full"))) {
 		refuse(c, c->request_id);
 		read_next_request(c);
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -618,6 +618,132 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/*
+ * Guards against requests to an instance that has said that it is leaving,
+ * whatever the list says, and against a mark that outlasts the incarnation.
+ */
+static void
+test_own_leaving(void)
+{
+	struct pb_registry *reg = new_test_registry(3);
+	struct pb_instance *inst = pb_find_instance(reg, pb_str_from("i1"));
+
+	CU_ASSERT(count_choices(reg, "i1") > 0);
+	CU_ASSERT(pb_note_leaving(ctx, reg, inst));
+	CU_ASSERT_FALSE(pb_note_leaving(ctx, reg, inst));
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
+	CU_ASSERT_EQUAL(pb_count_instances(reg), 2);
+	/* The entry is written again, then expires and returns. */
+	apply(reg, "i1", "b", false, 1);
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
+	pb_remove_instance(ctx, reg, pb_str_from("i1"));
+	apply(reg, "i1", "b", false, 1);
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
+	/* Another incarnation under the same id. */
+	apply(reg, "i1", "b", false, 2);
+	CU_ASSERT(count_choices(reg, "i1") > 0);
+	pb_drop_registry(ctx, reg);
+}
+
+/*
+ * Guards against requests that are refused while an instance can still run
+ * them, and against ones sent to an instance that is about to end.
+ */
+static void
+test_all_leaving(void)
+{
+	struct pb_registry *reg = new_test_registry(2);
+	struct pb_placement p = {.service = pb_str_from("s"),
+	    .domain = pb_str_from("a"),
+	    .rnd = &rnd};
+	struct pb_placement_facts facts;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		const char *id = i == 0 ? "i0" : "i1";
+
+		pb_note_leaving(
+		    ctx, reg, pb_find_instance(reg, pb_str_from(id)));
+	}
+	CU_ASSERT_PTR_NOT_NULL(pb_choose_instance(ctx, reg, &p, &facts));
+	pb_advance_clock(&clk, PB_SEC);
+	CU_ASSERT_PTR_NULL(pb_choose_instance(ctx, reg, &p, &facts));
+	CU_ASSERT_FALSE(facts.full);
+	CU_ASSERT_EQUAL(facts.reopens_us, 0);
+	pb_drop_registry(ctx, reg);
+}
+
+/* Guards against requests within a pause, and against a burst at its end. */
+static void
+test_pause(void)
+{
+	struct pb_registry *reg = new_test_registry(3);
+	struct pb_instance *inst = pb_find_instance(reg, pb_str_from("i1"));
+	int i;
+
+	CU_ASSERT_EQUAL(pb_note_pause(ctx, reg, inst, 3 * PB_SEC), 3 * PB_SEC);
+	/* A shorter time in a later answer does not end it sooner. */
+	CU_ASSERT_EQUAL(pb_note_pause(ctx, reg, inst, PB_SEC), 3 * PB_SEC);
+	/* The entry expires and returns. */
+	pb_remove_instance(ctx, reg, pb_str_from("i1"));
+	apply(reg, "i1", "b", false, 1);
+	inst = pb_find_instance(reg, pb_str_from("i1"));
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
+	CU_ASSERT_EQUAL(pb_count_closed(ctx, reg).paused, 1);
+	pb_advance_clock(&clk, 3 * PB_SEC - PB_MSEC);
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
+	pb_advance_clock(&clk, 2 * PB_MSEC);
+	CU_ASSERT(count_choices(reg, "i1") > 0);
+	/* One request at first, more with time. */
+	pb_note_dispatch(inst, false);
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
+	pb_advance_clock(&clk, PB_SEC);
+	CU_ASSERT(count_choices(reg, "i1") > 0);
+	for (i = 0; i < 4; i++)
+		pb_note_dispatch(inst, false);
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
+	CU_ASSERT(pb_note_pause(ctx, reg, inst, INT64_MAX / 4) == 600 * PB_SEC);
+	/* Another incarnation begins without it. */
+	apply(reg, "i1", "b", false, 2);
+	CU_ASSERT_EQUAL(pb_count_closed(ctx, reg).paused, 0);
+	CU_ASSERT(count_choices(reg, "i1") > 0);
+	pb_drop_registry(ctx, reg);
+}
+
+/*
+ * Guards against a wrong Retry-After, and against requests that wait in vain,
+ * when all instances have asked for a pause.
+ */
+static void
+test_all_paused(void)
+{
+	struct pb_registry *reg = new_test_registry(2);
+	struct pb_instance *inst = pb_find_instance(reg, pb_str_from("i0"));
+	struct pb_instance *other = pb_find_instance(reg, pb_str_from("i1"));
+	struct pb_placement p = {.service = pb_str_from("s"),
+	    .domain = pb_str_from("a"),
+	    .rnd = &rnd};
+	struct pb_placement_facts facts;
+
+	pb_note_pause(ctx, reg, inst, 5 * PB_SEC);
+	CU_ASSERT_EQUAL(pb_reopening_left(ctx, reg, pb_str_from("s")), 0);
+	pb_note_pause(ctx, reg, other, 2 * PB_SEC);
+	CU_ASSERT_EQUAL(
+	    pb_reopening_left(ctx, reg, pb_str_from("s")), 2 * PB_SEC);
+	CU_ASSERT_PTR_NULL(pb_choose_instance(ctx, reg, &p, &facts));
+	CU_ASSERT(facts.full);
+	CU_ASSERT_EQUAL(facts.reopens_us, pb_now(ctx) + 2 * PB_SEC);
+	/* A request that was sent to the first one waits for the other. */
+	p.excluded = &other;
+	p.excluded_count = 1;
+	CU_ASSERT_PTR_NULL(pb_choose_instance(ctx, reg, &p, &facts));
+	CU_ASSERT_EQUAL(facts.reopens_us, pb_now(ctx) + 5 * PB_SEC);
+	pb_advance_clock(&clk, 2 * PB_SEC);
+	p.excluded_count = 0;
+	CU_ASSERT_PTR_EQUAL(pb_choose_instance(ctx, reg, &p, &facts), other);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Guards against an id that adds header fields to forwarded requests. */
 static void
 test_unprintable_id(void)
@@ -644,6 +770,9 @@
 main(void)
 {
 	static CU_TestInfo tests[] = {{"unprintable id", test_unprintable_id},
+	    {"own leaving", test_own_leaving},
+	    {"all leaving", test_all_leaving}, {"pause", test_pause},
+	    {"all paused", test_all_paused},
 	    {"one instance per prefix", test_one_instance_per_prefix},
 	    {"hot prefix", test_hot_prefix},
 	    {"reported load", test_reported_load},
--- a/tests/test-routing.c
+++ b/tests/test-routing.c
@@ -242,6 +242,76 @@
 	pb_drop_arena(ctx, arena);
 }
 
+/* Reads a response head with status 503 unless another one is given. */
+static struct pb_response_info
+read_response(const char *status, const char *fields)
+{
+	struct pb_http_reader reader;
+	struct pb_response_info info;
+	char text[256];
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 %s X\r\n%sContent-Length: 0\r\n\r\n", status, fields);
+	pb_init_http_reader(&reader, HTTP_RESPONSE, NULL, NULL, 4096, 4096);
+	CU_ASSERT_EQUAL(pb_feed_http(&reader, text, strlen(text)) > 0, true);
+	CU_ASSERT(reader.head_done);
+	pb_platform_adapter()->read_response(&reader.head, &info);
+	pb_clear_http_reader(&reader);
+	return info;
+}
+
+/*
+ * Guards against a pause that is misread, and against an odd one that ends the
+ * process or lasts for ever.
+ */
+static void
+test_pause_field(void)
+{
+	static const struct {
+		const char *fields;
+		int64_t pause_us;
+		bool unreadable;
+	} cases[] = {{"", 0, false}, {"Retry-After: 3\r\n", 3 * PB_SEC, false},
+	    {"retry-after: 0.25\r\n", PB_SEC / 4, false},
+	    {"Retry-After: 0\r\n", 0, false},
+	    {"Retry-After: 1.0000000000001\r\n", PB_SEC, false},
+	    {"Retry-After: -1\r\n", 0, true}, {"Retry-After: 1e3\r\n", 0, true},
+	    {"Retry-After: 1.2.3\r\n", 0, true},
+	    {"Retry-After: .\r\n", 0, true}, {"Retry-After: \r\n", 0, true},
+	    {"Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n", 0, true},
+	    {"Retry-After: 2\r\nRetry-After: 5\r\nRetry-After: 1\r\n",
+		5 * PB_SEC, false},
+	    {"Retry-After: 99999999999999999999999999999\r\n",
+		1000000000 * PB_SEC, false}};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct pb_response_info info =
+		    read_response("503", cases[i].fields);
+
+		CU_ASSERT_EQUAL(info.pause_us, cases[i].pause_us);
+		CU_ASSERT_EQUAL(info.pause_unreadable, cases[i].unreadable);
+	}
+	CU_ASSERT_EQUAL(read_response("429", "Retry-After: 3\r\n").pause_us, 0);
+}
+
+/* Guards against an instance's word that is missed on one kind of answer. */
+static void
+test_leaving_field(void)
+{
+	static const char *const statuses[] = {
+	    "200", "204", "304", "400", "421", "429", "500", "503", "504"};
+	size_t i;
+
+	for (i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+		CU_ASSERT(read_response(statuses[i], "server-leaving: 1\r\n")
+			      .leaving);
+		CU_ASSERT_FALSE(
+		    read_response(statuses[i], "Server-Leaving: 0\r\n")
+			.leaving);
+	}
+}
+
 /* Guards against callers that set header fields reserved for the system. */
 static void
 test_request_fields(void)
@@ -357,7 +427,8 @@
 	    {"store page", test_store_page},
 	    {"request fields", test_request_fields},
 	    {"load field", test_load_field}, {"ranks", test_ranks},
-	    CU_TEST_INFO_NULL};
+	    {"pause field", test_pause_field},
+	    {"leaving field", test_leaving_field}, CU_TEST_INFO_NULL};
 	int rc;
 
 	pb_init_manual_clock(&clk, PB_SEC);
