Refuse a part on which responses begin later and for less long

Cause: routers that have just started know no success, and three crashes of the deadly part charge the sound parts of its requests as well. Change: a part on which a response has begun within two minutes needs five crashes instead of three, and is refused for ten seconds. No response ever begins on a deadly part.

--- a/include/poplarbeam/suspects.h
+++ b/include/poplarbeam/suspects.h
@@ -50,6 +50,12 @@
 /* Records that a request with the fingerprint has succeeded. */
 void pb_note_success(
     struct pb_context *ctx, struct pb_suspects *suspects, uint64_t fingerprint);
+/*
+ * Records that an instance has begun to respond to a request with the prompt
+ * part. More crashes are needed then for a refusal, and it ends sooner.
+ */
+void pb_note_begun(
+    struct pb_context *ctx, struct pb_suspects *suspects, uint64_t fingerprint);
 /*
  * Returns how long requests with the fingerprint are still refused, in
  * microseconds, or 0 if they may run. Requests that are allowed again after
--- a/source/gateway/gateway-contain.c
+++ b/source/gateway/gateway-contain.c
@@ -75,10 +75,16 @@
 void
 pb_note_stream_progress(struct pb_exchange *x)
 {
-	int64_t now = pb_now(x->gw->ctx);
+	struct pb_gateway *gw = x->gw;
+	int64_t now = pb_now(gw->ctx);
+	size_t i;
 
-	if (x->attempt_event_us == 0)
+	if (x->attempt_event_us == 0) {
 		x->attempt_event_us = now;
+		for (i = 1; i < count_fingerprints(x); i++)
+			pb_note_begun(
+			    gw->ctx, gw->suspects, x->fingerprints[i]);
+	}
 	if (!x->parts_cleared && now - x->attempt_event_us >= SOUND_RESPONSE_US)
 		clear_parts(x);
 }
--- a/source/suspects/suspects-table.c
+++ b/source/suspects/suspects-table.c
@@ -9,13 +9,20 @@
  * count separately if the instance was restarted between them.
  */
 #define CRASHES_MAX 3
+/*
+ * The same for a prompt part on which a response has begun recently. It is less
+ * suspect than a part on which every instance crashes before it responds.
+ */
+#define BEGUN_CRASHES_MAX 5
 /* Number of crashes that are remembered of one suspect. */
 #define VICTIMS_MAX 8
 /* Number of fingerprints that are remembered because of a crash. */
 #define SUSPECTS_MAX 256
 /* Number of fingerprints that are remembered because of a success. */
 #define SUCCEEDED_MAX 8192
-/* Successes are forgotten after this time. */
+/* Number of prompt parts that are remembered because a response began. */
+#define BEGUN_MAX 4096
+/* Successes and begun responses are forgotten after this time. */
 #define SUCCESS_TTL_US (120 * PB_SEC)
 /* A crash or a success is reported to other routers for this long. */
 #define SHARE_US (5 * PB_SEC)
@@ -37,12 +44,13 @@
 static const struct lifetime request_lifetime = {60 * PB_SEC, 120 * PB_SEC};
 /* Requests with a prompt part keep coming from many callers. */
 static const struct lifetime part_lifetime = {300 * PB_SEC, 600 * PB_SEC};
+static const struct lifetime begun_part_lifetime = {10 * PB_SEC, 600 * PB_SEC};
 
 struct suspect {
 	uint64_t fingerprint; /* 0: the entry is free */
 	uint64_t victims[VICTIMS_MAX];
 	size_t victim_count;
-	bool refused; /* had CRASHES_MAX victims since the last success */
+	bool relapsed; /* crashed again after a refusal had ended */
 	int64_t crashed_us; /* time of the last crash */
 	int64_t cleared_us; /* when a success cleared a report; 0: never */
 };
@@ -50,6 +58,7 @@
 struct pb_suspects {
 	struct suspect table[SUSPECTS_MAX];
 	struct pb_lru *succeeded; /* fingerprint -> time of the last success */
+	struct pb_lru *begun; /* prompt part -> time of the last response */
 };
 
 struct pb_suspects *
@@ -60,8 +69,9 @@
 	if (s == NULL)
 		return NULL;
 	s->succeeded = pb_new_lru(ctx, SUCCEEDED_MAX);
-	if (s->succeeded == NULL) {
-		free(s);
+	s->begun = pb_new_lru(ctx, BEGUN_MAX);
+	if (s->succeeded == NULL || s->begun == NULL) {
+		pb_drop_suspects(ctx, s);
 		return NULL;
 	}
 	return s;
@@ -73,6 +83,7 @@
 	if (suspects == NULL)
 		return;
 	pb_drop_lru(ctx, suspects->succeeded);
+	pb_drop_lru(ctx, suspects->begun);
 	free(suspects);
 }
 
@@ -99,12 +110,6 @@
 	return (fingerprint & PART_BIT) != 0;
 }
 
-static const struct lifetime *
-lifetime_of(uint64_t fingerprint)
-{
-	return is_part(fingerprint) ? &part_lifetime : &request_lifetime;
-}
-
 static struct suspect *
 find_suspect(struct pb_suspects *s, uint64_t fingerprint)
 {
@@ -117,12 +122,59 @@
 	return NULL;
 }
 
+static bool
+is_recent(struct pb_context *ctx, struct pb_lru *times, uint64_t fingerprint)
+{
+	const uint64_t *at = pb_find_lru(times, fingerprint);
+
+	return at != NULL && pb_now(ctx) - (int64_t)*at < SUCCESS_TTL_US;
+}
+
+/*
+ * Returns true if a request with the fingerprint succeeded recently. It is then
+ * not the cause of a crash: another request in progress at the instance was.
+ */
+static bool
+has_succeeded(
+    struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
+{
+	return is_recent(ctx, s->succeeded, fingerprint);
+}
+
+static bool
+has_begun(struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
+{
+	return is_part(fingerprint) && is_recent(ctx, s->begun, fingerprint);
+}
+
+static const struct lifetime *
+lifetime_of(struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
+{
+	if (has_begun(ctx, s, fingerprint))
+		return &begun_part_lifetime;
+	return is_part(fingerprint) ? &part_lifetime : &request_lifetime;
+}
+
+/* Returns true if enough instances crashed for a refusal. */
+static bool
+is_convicted(
+    struct pb_context *ctx, struct pb_suspects *s, const struct suspect *p)
+{
+	size_t limit =
+	    has_begun(ctx, s, p->fingerprint) ? BEGUN_CRASHES_MAX : CRASHES_MAX;
+
+	return p->relapsed || p->victim_count >= limit;
+}
+
 /* Returns true if entry a is replaced before entry b when the table is full. */
 static bool
 is_less_important(const struct suspect *a, const struct suspect *b)
 {
-	if (a->refused != b->refused)
-		return !a->refused;
+	bool kept_a = a->relapsed || a->victim_count >= CRASHES_MAX;
+	bool kept_b = b->relapsed || b->victim_count >= CRASHES_MAX;
+
+	if (kept_a != kept_b)
+		return kept_b;
 	if (is_part(a->fingerprint) != is_part(b->fingerprint))
 		return !is_part(a->fingerprint);
 	return a->crashed_us < b->crashed_us;
@@ -168,57 +220,48 @@
 	return false;
 }
 
-/*
- * Returns true if a request with the fingerprint succeeded recently. It is then
- * not the cause of a crash: another request in progress at the instance was.
- */
-static bool
-has_succeeded(
-    struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
-{
-	const uint64_t *at = pb_find_lru(s->succeeded, fingerprint);
-
-	return at != NULL && pb_now(ctx) - (int64_t)*at < SUCCESS_TTL_US;
-}
-
 static int64_t
-refusal_left(struct pb_context *ctx, const struct suspect *p)
+refusal_left(
+    struct pb_context *ctx, struct pb_suspects *s, const struct suspect *p)
 {
 	int64_t left;
 
-	if (!p->refused)
+	if (!is_convicted(ctx, s, p))
 		return 0;
-	left = p->crashed_us + lifetime_of(p->fingerprint)->refusal_us -
+	left = p->crashed_us + lifetime_of(ctx, s, p->fingerprint)->refusal_us -
 	    pb_now(ctx);
 	return left > 0 ? left : 0;
 }
 
 /* Removes crashes that are too old. */
 static void
-forget_old_crashes(struct pb_context *ctx, struct suspect *p)
+forget_old_crashes(
+    struct pb_context *ctx, struct pb_suspects *s, struct suspect *p)
 {
 	if (pb_now(ctx) - p->crashed_us <=
-	    lifetime_of(p->fingerprint)->memory_us)
+	    lifetime_of(ctx, s, p->fingerprint)->memory_us)
 		return;
 	p->victim_count = 0;
-	p->refused = false;
+	p->relapsed = false;
 }
 
 /* Returns true if requests with the fingerprint are refused from now on. */
 static bool
-add_victim(struct pb_context *ctx, struct suspect *p, uint64_t victim)
+add_victim(struct pb_context *ctx, struct pb_suspects *s, struct suspect *p,
+    uint64_t victim)
 {
-	bool was_refused = refusal_left(ctx, p) > 0;
+	bool was_refused = refusal_left(ctx, s, p) > 0;
 
 	/* A crash after a refusal has ended starts the next refusal. */
-	if (!was_refused && p->refused)
+	if (!was_refused && is_convicted(ctx, s, p)) {
 		p->victim_count = 0;
+		p->relapsed = true;
+	}
 	if (p->victim_count == VICTIMS_MAX)
 		return false;
 	p->victims[p->victim_count++] = victim;
 	p->crashed_us = pb_now(ctx);
-	p->refused = p->refused || p->victim_count >= CRASHES_MAX;
-	return p->refused && !was_refused;
+	return !was_refused && is_convicted(ctx, s, p);
 }
 
 /*
@@ -231,7 +274,7 @@
 	struct suspect *p = find_or_add_suspect(s, fingerprint);
 
 	p->victim_count = 0;
-	p->refused = false;
+	p->relapsed = false;
 	p->cleared_us = pb_now(ctx);
 }
 
@@ -248,13 +291,13 @@
 		return false;
 	}
 	p = find_or_add_suspect(s, crash->fingerprint);
-	forget_old_crashes(ctx, p);
+	forget_old_crashes(ctx, s, p);
 	if (is_victim(p, crash->victim))
 		return false;
 	if (own && is_part(crash->fingerprint) && p->victim_count > 0 &&
 	    pb_now(ctx) - p->crashed_us < SAME_EVENT_US)
 		return false;
-	return add_victim(ctx, p, crash->victim) &&
+	return add_victim(ctx, s, p, crash->victim) &&
 	    !has_succeeded(ctx, s, crash->fingerprint);
 }
 
@@ -290,6 +333,14 @@
 		clear_part(ctx, suspects, fingerprint);
 }
 
+void
+pb_note_begun(
+    struct pb_context *ctx, struct pb_suspects *suspects, uint64_t fingerprint)
+{
+	if (is_part(fingerprint))
+		pb_set_lru(suspects->begun, fingerprint, (uint64_t)pb_now(ctx));
+}
+
 int64_t
 pb_refusal_left(
     struct pb_context *ctx, struct pb_suspects *suspects, uint64_t fingerprint)
@@ -298,7 +349,7 @@
 
 	if (p == NULL || has_succeeded(ctx, suspects, fingerprint))
 		return 0;
-	return refusal_left(ctx, p);
+	return refusal_left(ctx, suspects, p);
 }
 
 size_t
@@ -317,15 +368,15 @@
 
 /* Stores the records of one suspect; returns their number. */
 static size_t
-read_suspect(struct pb_context *ctx, const struct suspect *p,
-    struct pb_crash *crashes, size_t cap)
+read_suspect(struct pb_context *ctx, struct pb_suspects *s,
+    const struct suspect *p, struct pb_crash *crashes, size_t cap)
 {
 	int64_t since_us = pb_now(ctx) - SHARE_US;
 	size_t i, n = 0;
 
 	if (p->cleared_us > since_us && n < cap)
 		crashes[n++] = (struct pb_crash){p->fingerprint, PB_NO_VICTIM};
-	if (p->crashed_us < since_us && refusal_left(ctx, p) == 0)
+	if (p->crashed_us < since_us && refusal_left(ctx, s, p) == 0)
 		return n;
 	for (i = 0; i < p->victim_count && n < cap; i++)
 		crashes[n++] = (struct pb_crash){p->fingerprint, p->victims[i]};
@@ -334,7 +385,7 @@
 
 /* Stores the records of prompt parts or those of requests. */
 static size_t
-read_kind(struct pb_context *ctx, const struct pb_suspects *s, bool parts,
+read_kind(struct pb_context *ctx, struct pb_suspects *s, bool parts,
     struct pb_crash *crashes, size_t cap)
 {
 	size_t i, n = 0;
@@ -343,7 +394,7 @@
 		const struct suspect *p = &s->table[i];
 
 		if (p->fingerprint != 0 && is_part(p->fingerprint) == parts)
-			n += read_suspect(ctx, p, crashes + n, cap - n);
+			n += read_suspect(ctx, s, p, crashes + n, cap - n);
 	}
 	return n;
 }
--- a/tests/test-suspects.c
+++ b/tests/test-suspects.c
@@ -237,6 +237,31 @@
 	pb_drop_suspects(ctx, b);
 }
 
+/*
+ * Guards against a part of all requests of a route that is refused for minutes,
+ * because instances crash one after the other before any response is complete.
+ */
+static void
+test_begun_part(void)
+{
+	struct pb_suspects *s = pb_new_suspects(ctx);
+
+	pb_note_begun(ctx, s, part("first"));
+	CU_ASSERT_FALSE(crash_series(s, part("first"), 1, 4));
+	CU_ASSERT(crash_series(s, part("first"), 5, 5));
+	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("first")), 10 * PB_SEC);
+	pb_advance_clock(&clk, 10 * PB_SEC);
+	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("first")), 0);
+	CU_ASSERT(crash_series(s, part("first"), 6, 6));
+	pb_note_success(ctx, s, part("first"));
+	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("first")), 0);
+	/* A response that begins after a refusal has started ends it. */
+	CU_ASSERT(crash_series(s, part("late"), 1, 3));
+	pb_note_begun(ctx, s, part("late"));
+	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("late")), 0);
+	pb_drop_suspects(ctx, s);
+}
+
 /* Guards against a full table that drops a part because of many requests. */
 static void
 test_part_kept(void)
@@ -264,7 +289,8 @@
 	    {"reset together", test_reset_together},
 	    {"success report", test_success_report},
 	    {"refusal report", test_refusal_report},
-	    {"part kept", test_part_kept}, CU_TEST_INFO_NULL};
+	    {"begun part", test_begun_part}, {"part kept", test_part_kept},
+	    CU_TEST_INFO_NULL};
 	int rc;
 
 	pb_init_manual_clock(&clk, 0);
