--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -1,4 +1,5 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
+#include "gateway-follow.h"
 
 #include <string.h>
 
--- a/source/gateway/gateway-contain.c
+++ b/source/gateway/gateway-contain.c
@@ -1,4 +1,4 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
 
 /*
  * A response that has gone on for this long since its first part shows that its
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -1,4 +1,5 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
+#include "gateway-follow.h"
 
 #include <signal.h>
 #include <stdlib.h>
--- /dev/null
+++ b/source/gateway/gateway-exchange.h
@@ -0,0 +1,161 @@
+#ifndef GATEWAY_EXCHANGE_H
+#define GATEWAY_EXCHANGE_H
+
+#include "gateway-internal.h"
+
+/* One request of a caller and its attempts at upstreams. */
+
+/* gateway-exchange.c: one request and its attempts at upstreams. */
+
+#define PB_TRIED_MAX 8
+
+struct pb_exchange {
+	struct pb_link_call call;
+	struct pb_gateway *gw;
+	struct pb_conn *conn; /* NULL: the caller has disconnected */
+	struct pb_arena *arena;
+	struct pb_routing *routing; /* counted reference */
+	const struct pb_route *route;
+	const struct pb_account *account; /* NULL: none */
+	struct pb_service_budget *budget;
+	struct pb_waiter waiter; /* entry in the queue for a free slot */
+	int64_t wait_end_us; /* refused at this time if still queued */
+	int rank; /* priority among the ranks of the service; 0: highest */
+	bool boosted; /* sent with the highest priority against starvation */
+	struct pb_str request_id;
+	char log_id[64]; /* request ID for log lines, truncated if needed */
+	struct pb_str service;
+	/* The request head as it is forwarded, without the final empty line. */
+	struct pb_buf head;
+	struct pb_buf body;
+	bool has_body;
+	uint64_t affinity;
+	/* Ids of the prompt parts that other requests may share. */
+	struct pb_str shared_parts[PB_PROMPT_PARTS_MAX];
+	size_t shared_part_count;
+	/* Of the request, then of each shared part. */
+	uint64_t fingerprints[1 + PB_PROMPT_PARTS_MAX];
+	int64_t attempt_event_us; /* first event of the attempt; 0: none */
+	bool parts_cleared; /* the shared parts are known not to crash */
+	int64_t prompt_tokens;
+	int64_t received_us;
+	int64_t deadline_us;
+	int64_t attempt_us; /* start of the attempt in progress */
+	/*
+	 * Last arrival of the response head, of a complete event of a stream
+	 * or of any data of another response.
+	 */
+	int64_t progress_us;
+	/* Last check at which a silent attempt was allowed to continue. */
+	int64_t stall_checked_us;
+	/* The instance of the attempt in progress, a counted reference. */
+	struct pb_instance *instance;
+	struct pb_instance *tried[PB_TRIED_MAX]; /* counted references */
+	size_t tried_count;
+	int attempts; /* attempts that an upstream may have run */
+	bool on_reused_link; /* the attempt uses an existing connection */
+	bool silence_noted; /* counted as failed; the attempt continues */
+	bool may_have_run;
+	bool repeatable; /* may run more than once */
+	/* When a refused caller may retry; 0: after a short random time. */
+	int64_t retry_after_us;
+	/* The response. */
+	int status;
+	struct pb_response_info info; /* of the attempt in progress */
+	struct pb_buf response_fields;
+	struct pb_buf response;
+	/* Bytes of response that are counted in gw->buffered. */
+	size_t response_counted_bytes;
+	bool streaming; /* events are forwarded as they arrive */
+	bool until_close; /* ends with the connection, without a length */
+	bool started; /* the response head was sent to the caller */
+	bool unusable; /* not intact, or not the upstream's own response */
+	bool has_last_event;
+	int64_t last_event;
+	/* When the first part of a streamed response was sent to the caller. */
+	int64_t first_us;
+	const char *outcome; /* for the log */
+	struct event *timer;
+	TAILQ_ENTRY(pb_exchange) entry;
+};
+
+/* Takes over the body of conn. The exchange frees itself when it has ended. */
+void pb_start_exchange(struct pb_exchange *x);
+struct pb_exchange *pb_new_exchange(struct pb_conn *conn);
+void pb_drop_exchange(struct pb_exchange *x);
+/* Sets the timer to the time of the next check of the exchange. */
+void pb_arm_exchange(struct pb_exchange *x);
+/* Called when the caller has closed its connection. */
+void pb_detach_caller(struct pb_exchange *x);
+
+/* gateway-wait.c: requests that wait for free slots, by rank. */
+/*
+ * Chooses an instance by the rank of the exchange and the load. Returns NULL
+ * if there is none; facts->full is true then if the exchange may wait.
+ */
+struct pb_instance *pb_choose_for_exchange(
+    struct pb_exchange *x, struct pb_placement_facts *facts);
+/*
+ * Queues an exchange for which no instance has a free slot, or refuses it if it
+ * cannot be served in time. facts: of the choice that found none.
+ */
+void pb_wait_for_slot(
+    struct pb_exchange *x, const struct pb_placement_facts *facts);
+/* Sets the rank of the exchange. Its route, account and budget must be set. */
+void pb_set_rank(struct pb_exchange *x);
+/*
+ * Records whether the response was late. Called when the response has started,
+ * or when the request has ended without one.
+ */
+void pb_note_latency(struct pb_exchange *x);
+/* Schedules the sending of waiting requests after a slot may be free. */
+void pb_schedule_dispatch(struct pb_gateway *gw);
+struct event *pb_new_dispatch_timer(struct pb_gateway *gw);
+
+/* gateway-attempt.c: chooses an upstream and sends the request. */
+void pb_next_attempt(struct pb_exchange *x);
+/* Ends an attempt whose response cannot be used, and its exchange. */
+void pb_end_attempt(struct pb_exchange *x, const char *why);
+/* Ends the exchange without a response of an upstream. */
+void pb_fail_exchange(struct pb_exchange *x, int status, const char *why);
+/* Counts and logs the outcome and frees the exchange. */
+void pb_finish_exchange(struct pb_exchange *x, const char *outcome);
+/* Releases the instance of the current attempt. */
+void pb_release_instance(struct pb_exchange *x);
+/* Returns true if another attempt is allowed, and charges the retry budget. */
+bool pb_take_attempt(struct pb_exchange *x);
+
+/* gateway-word.c */
+/*
+ * Applies what the instance says of itself in the head of an answer, which is
+ * in x->info. is_own_answer: the answer belongs to this request.
+ */
+void pb_note_instance_word(
+    struct pb_exchange *x, int status, bool is_own_answer);
+
+/* gateway-contain.c: limits requests that crash the instances they run on. */
+/* Sets the fingerprints. The body and the account must be set. */
+void pb_set_fingerprints(struct pb_exchange *x);
+/*
+ * Returns why the request is refused, and sets when its caller may retry.
+ * Returns NULL if it may run.
+ */
+const char *pb_find_refusal(struct pb_exchange *x);
+/* Records that the request received a complete response. */
+void pb_note_sound_request(struct pb_exchange *x);
+/* Records that an event of the response has arrived. */
+void pb_note_stream_progress(struct pb_exchange *x);
+/*
+ * Records that the connection broke while the instance worked on the request,
+ * which may have crashed it.
+ */
+void pb_note_broken_attempt(struct pb_exchange *x);
+
+/* gateway-events.c */
+/*
+ * Forwards complete events of the response to the caller. Returns false if an
+ * event is out of order.
+ */
+bool pb_forward_events(struct pb_exchange *x);
+
+#endif
--- a/source/gateway/gateway-memory.c
+++ b/source/gateway/gateway-memory.c
@@ -1,4 +1,4 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
 
 /*
  * Limits the memory used by requests and responses in progress. Callers and
--- a/source/gateway/gateway-metrics.c
+++ b/source/gateway/gateway-metrics.c
@@ -1,4 +1,4 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/source/gateway/gateway-reports.c
+++ b/source/gateway/gateway-reports.c
@@ -1,5 +1,5 @@
 #include "changes.h"
-#include "gateway-internal.h"
+#include "gateway-follow.h"
 
 /* Attempts are sent as integers, in units of one hundredth. */
 #define OUTCOME_UNITS 100.0
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -1,4 +1,5 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
+#include "gateway-follow.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/source/gateway/gateway-routers.c
+++ b/source/gateway/gateway-routers.c
@@ -1,5 +1,5 @@
 #include "changes.h"
-#include "gateway-internal.h"
+#include "gateway-follow.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -1,4 +1,4 @@
-#include "gateway-internal.h"
+#include "gateway-follow.h"
 
 #include <string.h>
 
--- a/source/gateway/gateway-wait.c
+++ b/source/gateway/gateway-wait.c
@@ -1,4 +1,5 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
+#include "gateway-follow.h"
 
 /*
  * Interval of the checks for free slots while requests wait. They are needed
--- a/source/gateway/gateway-word.c
+++ b/source/gateway/gateway-word.c
@@ -1,4 +1,4 @@
-#include "gateway-internal.h"
+#include "gateway-exchange.h"
 
 /*
  * What an instance says of itself in the head of any answer: that it is
