--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -55,7 +55,7 @@
 	int slots; /* requests that can run at the same time */
 };
 
-#define PB_PROMPT_PARTS_MAX 16
+#define PB_PROMPT_PARTS_MAX 64
 
 /* One part of a prompt. Parts with the same id have the same text. */
 struct pb_prompt_part {
--- a/include/poplarbeam/admission.h
+++ b/include/poplarbeam/admission.h
@@ -81,5 +81,7 @@
 struct pb_waiter *pb_first_waiter(
     const struct pb_admission *admission, int rank);
 size_t pb_count_waiters(const struct pb_admission *admission);
+/* Returns the number of waiting requests of this rank. */
+size_t pb_count_waiters_of(const struct pb_admission *admission, int rank);
 
 #endif
--- a/source/admission/admission-ranks.c
+++ b/source/admission/admission-ranks.c
@@ -259,6 +259,12 @@
 	return TAILQ_FIRST(&admission->ranks[rank].list);
 }
 
+size_t
+pb_count_waiters_of(const struct pb_admission *admission, int rank)
+{
+	return admission->ranks[rank].waiting;
+}
+
 size_t
 pb_count_waiters(const struct pb_admission *admission)
 {
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -129,6 +129,8 @@
 	x->unusable = false;
 	x->silence_noted = false;
 	x->attempt_event_us = 0;
+	x->status = 0;
+	x->info = (struct pb_response_info){0};
 	if (x->tried_count == PB_TRIED_MAX ||
 	    x->deadline_us - pb_now(gw->ctx) < ATTEMPT_MIN_US) {
 		fail_request(x, "no attempt left");
@@ -251,6 +253,7 @@
 		pb_log(x->gw->ctx, PB_WARN, "read answer", x->instance->id,
 		    NULL,
 		    "response carries the ID of another request; discarded");
+		x->info = (struct pb_response_info){0};
 		pb_skip_response(call);
 		return;
 	}
@@ -361,6 +364,19 @@
 	pb_fail_exchange(x, 502, why);
 }
 
+/* Returns true if the stream ended within an event. */
+static bool
+has_partial_event(const struct pb_exchange *x)
+{
+	size_t i;
+
+	for (i = 0; i < x->response.len; i++) {
+		if (x->response.data[i] != '\r' && x->response.data[i] != '\n')
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns true if a stream that seems complete has been cut off: it ended
  * within an event, or with its connection before the first event.
@@ -369,7 +385,7 @@
 is_cut_stream(const struct pb_exchange *x)
 {
 	return x->streaming && !x->unusable &&
-	    (x->response.len > 0 ||
+	    (has_partial_event(x) ||
 		(x->until_close && x->attempt_event_us == 0));
 }
 
--- a/source/gateway/gateway-wait.c
+++ b/source/gateway/gateway-wait.c
@@ -24,7 +24,7 @@
  * the time left until its deadline, so that the rest is left for its run.
  */
 #define PAUSE_TIME_SHARE 0.5
-/* Requests that wait for the end of a pause, per service. */
+/* Requests of one rank of a service that wait for the end of a pause. */
 #define PAUSE_WAITERS_MAX 256
 
 void
@@ -126,7 +126,7 @@
 	int64_t now = pb_now(gw->ctx);
 	int64_t last =
 	    now + (int64_t)((double)(x->deadline_us - now) * PAUSE_TIME_SHARE);
-	size_t waiting = pb_count_waiters(a);
+	size_t waiting = pb_count_waiters_of(a, x->rank);
 	bool joined = reopens_us < last && waiting < PAUSE_WAITERS_MAX;
 
 	x->waiter.owner = x;
@@ -135,7 +135,7 @@
 		    gw->ctx, a, &x->waiter, x->rank, INT64_MAX);
 	pb_log(gw->ctx, PB_INFO, "wait for room", NULL, x->log_id,
 	    "%s; all instances of service %s have asked for a pause, the first "
-	    "takes requests again in %lld ms; rank %d, %zu requests were "
+	    "takes requests again in %lld ms; rank %d, %zu requests of it were "
 	    "waiting",
 	    joined ? "waiting" : "refused", x->budget->service,
 	    (long long)((reopens_us - now) / PB_MSEC), x->rank, waiting);
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -259,7 +259,7 @@
 		    ctx, PB_ENOMEM, "list instances", NULL, "out of memory");
 	if (update_instance(inst, entry))
 		inst->sequence = ++registry->sequence;
-	pb_restore_word(registry, inst);
+	pb_restore_word(ctx, registry, inst);
 	if (entry->draining && !inst->draining) {
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%s is draining", inst->id);
--- a/source/registry/registry-open.c
+++ b/source/registry/registry-open.c
@@ -66,7 +66,8 @@
 }
 
 void
-pb_restore_word(struct pb_registry *registry, struct pb_instance *instance)
+pb_restore_word(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_instance *instance)
 {
 	uint64_t key = incarnation_key(instance);
 	const uint64_t *at;
@@ -79,7 +80,8 @@
 		instance->leaving_us = (int64_t)*at;
 	}
 	at = pb_find_lru(registry->paused, key);
-	if (at != NULL && instance->paused_until_us == 0)
+	if (at != NULL && instance->paused_until_us == 0 &&
+	    (int64_t)*at > pb_now(ctx))
 		instance->paused_until_us = (int64_t)*at;
 }
 
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -642,6 +642,16 @@
 	/* Another incarnation under the same id. */
 	apply(reg, "i1", "b", false, 2);
 	CU_ASSERT(count_choices(reg, "i1") > 0);
+	/* An instance says so while its entry expires in an outage. */
+	pb_defer_removals(reg, pb_now(ctx) + PB_SEC);
+	pb_remove_instance(ctx, reg, pb_str_from("i1"));
+	inst = pb_find_instance(reg, pb_str_from("i1"));
+	CU_ASSERT(pb_note_leaving(ctx, reg, inst));
+	pb_advance_clock(&clk, 2 * PB_SEC);
+	pb_expire_instances(ctx, reg);
+	CU_ASSERT_PTR_NULL(pb_find_instance(reg, pb_str_from("i1")));
+	apply(reg, "i1", "b", false, 2);
+	CU_ASSERT_EQUAL(count_choices(reg, "i1"), 0);
 	pb_drop_registry(ctx, reg);
 }
 
