--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -248,7 +248,7 @@
 	x->progress_us = pb_now(x->gw->ctx);
 	is_other_answer = info->request_id.len > 0 &&
 	    !pb_str_equal(info->request_id, x->request_id);
-	pb_note_instance_word(x, h->status, !is_other_answer);
+	pb_note_self_report(x, h->status, !is_other_answer);
 	if (is_other_answer) {
 		pb_log(x->gw->ctx, PB_WARN, "read answer", x->instance->id,
 		    NULL,
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -125,13 +125,12 @@
 /* Returns true if another attempt is allowed, and charges the retry budget. */
 bool pb_take_attempt(struct pb_exchange *x);
 
-/* gateway-word.c */
+/* gateway-selfreport.c */
 /*
  * Applies what the instance says of itself in the head of an answer, which is
  * in x->info. is_own_answer: the answer belongs to this request.
  */
-void pb_note_instance_word(
-    struct pb_exchange *x, int status, bool is_own_answer);
+void pb_note_self_report(struct pb_exchange *x, int status, bool is_own_answer);
 
 /* gateway-contain.c: limits requests that crash the instances they run on. */
 /* Sets the fingerprints. The body and the account must be set. */
--- a/source/gateway/gateway-word.c
+++ b/source/gateway/gateway-selfreport.c
@@ -48,7 +48,7 @@
 }
 
 void
-pb_note_instance_word(struct pb_exchange *x, int status, bool is_own_answer)
+pb_note_self_report(struct pb_exchange *x, int status, bool is_own_answer)
 {
 	struct pb_gateway *gw = x->gw;
 
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -48,8 +48,8 @@
  * Applies what the instance's incarnation has said before, which the list may
  * have lost meanwhile.
  */
-void pb_restore_word(struct pb_context *ctx, struct pb_registry *registry,
-    struct pb_instance *instance);
+void pb_restore_self_report(struct pb_context *ctx,
+    struct pb_registry *registry, struct pb_instance *instance);
 bool pb_is_paused(const struct pb_instance *instance, int64_t now);
 /*
  * Returns true if the instance takes new requests. last_resort: no other
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -8,7 +8,7 @@
  * Number of incarnations that are remembered because they are leaving, and of
  * those that asked for a pause.
  */
-#define WORDS_MAX 4096
+#define SELF_REPORTS_MAX 4096
 
 struct pb_registry *
 pb_new_registry(
@@ -18,8 +18,8 @@
 
 	if (registry == NULL)
 		return NULL;
-	registry->leaving = pb_new_lru(ctx, WORDS_MAX);
-	registry->paused = pb_new_lru(ctx, WORDS_MAX);
+	registry->leaving = pb_new_lru(ctx, SELF_REPORTS_MAX);
+	registry->paused = pb_new_lru(ctx, SELF_REPORTS_MAX);
 	if (registry->leaving == NULL || registry->paused == NULL) {
 		pb_drop_lru(ctx, registry->leaving);
 		pb_drop_lru(ctx, registry->paused);
@@ -259,7 +259,7 @@
 		    ctx, PB_ENOMEM, "list instances", NULL, "out of memory");
 	if (update_instance(inst, entry))
 		inst->sequence = ++registry->sequence;
-	pb_restore_word(ctx, registry, inst);
+	pb_restore_self_report(ctx, registry, inst);
 	if (entry->draining && !inst->draining) {
 		pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
 		    "%s is draining", inst->id);
--- a/source/registry/registry-open.c
+++ b/source/registry/registry-selfreport.c
@@ -66,7 +66,7 @@
 }
 
 void
-pb_restore_word(struct pb_context *ctx, struct pb_registry *registry,
+pb_restore_self_report(struct pb_context *ctx, struct pb_registry *registry,
     struct pb_instance *instance)
 {
 	uint64_t key = incarnation_key(instance);
--- a/source/suspects/suspects-table.c
+++ b/source/suspects/suspects-table.c
@@ -50,7 +50,7 @@
 	uint64_t fingerprint; /* 0: the entry is free */
 	uint64_t victims[VICTIMS_MAX];
 	size_t victim_count;
-	bool relapsed; /* crashed again after a refusal had ended */
+	bool crashed_again; /* crashed again after a refusal had ended */
 	int64_t crashed_us; /* time of the last crash */
 	int64_t cleared_us; /* when a success cleared a report; 0: never */
 };
@@ -157,21 +157,21 @@
 
 /* Returns true if enough instances crashed for a refusal. */
 static bool
-is_convicted(
+exceeds_crash_limit(
     struct pb_context *ctx, struct pb_suspects *s, const struct suspect *p)
 {
 	size_t limit =
 	    has_begun(ctx, s, p->fingerprint) ? BEGUN_CRASHES_MAX : CRASHES_MAX;
 
-	return p->relapsed || p->victim_count >= limit;
+	return p->crashed_again || p->victim_count >= limit;
 }
 
 /* Returns true if entry a is replaced before entry b when the table is full. */
 static bool
 is_less_important(const struct suspect *a, const struct suspect *b)
 {
-	bool kept_a = a->relapsed || a->victim_count >= CRASHES_MAX;
-	bool kept_b = b->relapsed || b->victim_count >= CRASHES_MAX;
+	bool kept_a = a->crashed_again || a->victim_count >= CRASHES_MAX;
+	bool kept_b = b->crashed_again || b->victim_count >= CRASHES_MAX;
 
 	if (kept_a != kept_b)
 		return kept_b;
@@ -226,7 +226,7 @@
 {
 	int64_t left;
 
-	if (!is_convicted(ctx, s, p))
+	if (!exceeds_crash_limit(ctx, s, p))
 		return 0;
 	left = p->crashed_us + lifetime_of(ctx, s, p->fingerprint)->refusal_us -
 	    pb_now(ctx);
@@ -242,7 +242,7 @@
 	    lifetime_of(ctx, s, p->fingerprint)->memory_us)
 		return;
 	p->victim_count = 0;
-	p->relapsed = false;
+	p->crashed_again = false;
 }
 
 /* Returns true if requests with the fingerprint are refused from now on. */
@@ -253,15 +253,15 @@
 	bool was_refused = refusal_left(ctx, s, p) > 0;
 
 	/* A crash after a refusal has ended starts the next refusal. */
-	if (!was_refused && is_convicted(ctx, s, p)) {
+	if (!was_refused && exceeds_crash_limit(ctx, s, p)) {
 		p->victim_count = 0;
-		p->relapsed = true;
+		p->crashed_again = true;
 	}
 	if (p->victim_count == VICTIMS_MAX)
 		return false;
 	p->victims[p->victim_count++] = victim;
 	p->crashed_us = pb_now(ctx);
-	return !was_refused && is_convicted(ctx, s, p);
+	return !was_refused && exceeds_crash_limit(ctx, s, p);
 }
 
 /*
@@ -274,7 +274,7 @@
 	struct suspect *p = find_or_add_suspect(s, fingerprint);
 
 	p->victim_count = 0;
-	p->relapsed = false;
+	p->crashed_again = false;
 	p->cleared_us = pb_now(ctx);
 }
 
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -39,8 +39,8 @@
  *             sends bytes that are not HTTP, or a head, a body without a length
  *             or an event that never ends, as fast as the peer reads
  *
- * A request whose prompt prefix has the part "dead" before its last part aborts
- * the process when its response begins, whatever the action.
+ * A request whose prompt prefix has the part "crash" before its last part
+ * aborts the process when its response begins, whatever the action.
  *
  * "GET /say-leaving" adds the header Server-Leaving to all later responses.
  * "GET /say-pause/TEXT" makes it reject all later requests with status 503, the
@@ -558,14 +558,14 @@
 
 /* Returns true if the part that crashes the process precedes the last one. */
 static bool
-has_deadly_part(const struct pb_http_head *h)
+has_crashing_part(const struct pb_http_head *h)
 {
 	char parts[256];
-	const char *dead;
+	const char *found;
 
 	copy_field(h, "X-Poplarbeam-Prompt-Prefix", parts, sizeof(parts));
-	dead = strstr(parts, "dead:");
-	return dead != NULL && strchr(dead, ',') != NULL;
+	found = strstr(parts, "crash:");
+	return found != NULL && strchr(found, ',') != NULL;
 }
 
 static void
@@ -608,7 +608,7 @@
 	if (is_action(c, "refusal-unnamed"))
 		refuse(c, NULL);
 	record_run(c->backend, c->request_id);
-	if (has_deadly_part(h)) {
+	if (has_crashing_part(h)) {
 		send_response_head(c, 200, c->request_id, true);
 		evbuffer_write(
 		    bufferevent_get_output(c->bev), bufferevent_getfd(c->bev));
--- a/tests/scripts/gateway-deadly-part.sh
+++ b/tests/scripts/gateway-crashing-part.sh
@@ -30,19 +30,19 @@
 	    -H "X-Poplarbeam-Prompt-Prefix: $3" | sed 's/.* //'
 }
 
-deadly=""
+crashing=""
 sound=""
 for i in 1 2 3 4 5 6 7 8; do
 	for n in 1 2 3; do
 		sound="$sound$(send_prompt $n "s-$i-$n" base:90,ok:9,u$i$n:5) "
 	done
-	deadly="$deadly$(send_prompt $((i % 3 + 1)) "d-$i" \
-	    base:90,dead:9,v$i:5) "
+	crashing="$crashing$(send_prompt $((i % 3 + 1)) "d-$i" \
+	    base:90,crash:9,v$i:5) "
 	sleep 0.7
 	revive_backends
 	sleep 0.7
 done
-echo "deadly: $deadly"
+echo "crashing: $crashing"
 echo "sound:  $sound"
 echo "crashed instances: $crashed"
 
@@ -51,9 +51,9 @@
 start_gateway 2
 wait_gateway 2
 sleep 1
-echo "after a restart: $(send_prompt 2 d-9 base:90,dead:9,v9:5)" \
+echo "after a restart: $(send_prompt 2 d-9 base:90,crash:9,v9:5)" \
     "$(send_prompt 2 s-9 base:90,ok:9,u9:5)"
 sleep 0.3
 revive_backends
 echo "crashed instances: $crashed"
-end_report gateway-deadly-part
+end_report gateway-crashing-part
--- a/tests/test-suspects.c
+++ b/tests/test-suspects.c
@@ -147,17 +147,18 @@
 	struct pb_suspects *s = pb_new_suspects(ctx);
 
 	pb_note_success(ctx, s, part("sound"));
-	CU_ASSERT_FALSE(crash_series(s, part("deadly"), 1, 2));
+	CU_ASSERT_FALSE(crash_series(s, part("crashing"), 1, 2));
 	CU_ASSERT_FALSE(crash_series(s, part("sound"), 1, 3));
-	CU_ASSERT(crash_series(s, part("deadly"), 3, 3));
-	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("deadly")), 300 * PB_SEC);
+	CU_ASSERT(crash_series(s, part("crashing"), 3, 3));
+	CU_ASSERT_EQUAL(
+	    pb_refusal_left(ctx, s, part("crashing")), 300 * PB_SEC);
 	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("sound")), 0);
 	CU_ASSERT_EQUAL(pb_count_refused(ctx, s), 1);
 	/* After the refusal, one further crash is enough. */
 	pb_advance_clock(&clk, 301 * PB_SEC);
-	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("deadly")), 0);
-	CU_ASSERT(crash(s, part("deadly"), 4));
-	CU_ASSERT(pb_refusal_left(ctx, s, part("deadly")) > 0);
+	CU_ASSERT_EQUAL(pb_refusal_left(ctx, s, part("crashing")), 0);
+	CU_ASSERT(crash(s, part("crashing"), 4));
+	CU_ASSERT(pb_refusal_left(ctx, s, part("crashing")) > 0);
 	pb_drop_suspects(ctx, s);
 }
 
@@ -218,21 +219,22 @@
 	int64_t left;
 	int i;
 
-	crash_series(a, part("deadly"), 1, 6);
+	crash_series(a, part("crashing"), 1, 6);
 	pb_advance_clock(&clk, 100 * PB_SEC);
 	report(a, b);
-	CU_ASSERT(pb_refusal_left(ctx, b, part("deadly")) > 0);
-	crash_series(b, part("deadly"), 7, 12);
+	CU_ASSERT(pb_refusal_left(ctx, b, part("crashing")) > 0);
+	crash_series(b, part("crashing"), 7, 12);
 	for (i = 0; i < 5; i++) {
 		pb_advance_clock(&clk, PB_SEC);
 		report(a, b);
 		report(b, a);
 	}
-	left = pb_refusal_left(ctx, b, part("deadly"));
+	left = pb_refusal_left(ctx, b, part("crashing"));
 	pb_advance_clock(&clk, PB_SEC);
 	report(a, b);
 	report(b, a);
-	CU_ASSERT_EQUAL(pb_refusal_left(ctx, b, part("deadly")), left - PB_SEC);
+	CU_ASSERT_EQUAL(
+	    pb_refusal_left(ctx, b, part("crashing")), left - PB_SEC);
 	pb_drop_suspects(ctx, a);
 	pb_drop_suspects(ctx, b);
 }
@@ -270,13 +272,13 @@
 	struct pb_crash records[64];
 	uint64_t i;
 
-	crash(s, part("deadly"), 1);
+	crash(s, part("crashing"), 1);
 	for (i = 1; i <= 1000; i++) {
 		pb_advance_clock(&clk, PB_MSEC);
 		crash(s, i, 1);
 	}
 	CU_ASSERT_EQUAL(pb_read_crashes(ctx, s, records, 64), 64);
-	CU_ASSERT_EQUAL(records[0].fingerprint, part("deadly"));
+	CU_ASSERT_EQUAL(records[0].fingerprint, part("crashing"));
 	pb_drop_suspects(ctx, s);
 }
 
