--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -3,8 +3,8 @@
  *
  *   review-client ports N             prints the first of N free ports in a row
  *   review-client call PORT METHOD PATH [FILE]
- *                                     one call; FILE is its body; exit 0 for 200
- *   review-client status PORT PATH    prints the status of a GET, 0: none
+ *                                     one call; FILE is its body; exit 0 for
+ * 200 review-client status PORT PATH    prints the status of a GET, 0: none
  *   review-client play RECORD-FILE HOST KEY
  *                                     sends the requests of standard input
  *
@@ -128,8 +128,7 @@
 	if (p != NULL && p < end)
 		return a->len >=
 		    (size_t)(end + 4 - a->data) + (size_t)atol(p + 17);
-	return a->len >= 5 &&
-	    memcmp(a->data + a->len - 5, "0\r\n\r\n", 5) == 0;
+	return a->len >= 5 && memcmp(a->data + a->len - 5, "0\r\n\r\n", 5) == 0;
 }
 
 /* Reads until the answer is whole: 1, the connection ends: 0, the time is over:
@@ -262,10 +261,12 @@
 	}
 	start_ms = now_ms();
 	for (i = 0; i < line_count; i++) {
-		for (k = 0; k < i && strcmp(lines[k].conn, lines[i].conn) != 0; k++)
+		for (k = 0; k < i && strcmp(lines[k].conn, lines[i].conn) != 0;
+		     k++)
 			;
-		if (k == i && pthread_create(&threads[n], NULL, play_conn,
-				  &lines[i]) == 0)
+		if (k == i &&
+		    pthread_create(&threads[n], NULL, play_conn, &lines[i]) ==
+			0)
 			n++;
 	}
 	for (i = 0; i < n; i++)
@@ -335,7 +336,8 @@
 	if (argc >= 5 && strcmp(argv[1], "call") == 0)
 		return call(atoi(argv[2]), argv[3], argv[4], argv[5]) != 200;
 	if (argc == 4 && strcmp(argv[1], "status") == 0)
-		return printf("%d\n", call(atoi(argv[2]), "GET", argv[3], NULL)) < 0;
+		return printf("%d\n",
+			   call(atoi(argv[2]), "GET", argv[3], NULL)) < 0;
 	if (argc == 5 && strcmp(argv[1], "play") == 0) {
 		record = fopen(argv[2], "a");
 		host = argv[3];
--- a/review/standin/engine.c
+++ b/review/standin/engine.c
@@ -14,9 +14,14 @@
  *   GET /control/overload/WAIT-MS/RETRY-AFTER/FOR-MS  for the next FOR-MS
  *       milliseconds, a request is turned away after WAIT-MS in the queue, with
  *       status 503, X-Poplarbeam-Not-Executed and Retry-After
+ *   GET /control/preempt/FOR-MS  the engine's memory has run out: the newer
+ * half of the running streams is preempted and goes on after FOR-MS
+ *       milliseconds; until then new requests get status 503 and
+ *       X-Poplarbeam-Not-Executed
  *
  * Each line of RECORD-FILE is: Unix milliseconds, "engine", the engine's id, an
- * event (reached, turned-away, runs, ended) and the id of the request.
+ * event (reached, turned-away, runs, preempted, ended) and the id of the
+ * request.
  */
 #include <netinet/in.h>
 #include <pthread.h>
@@ -40,6 +45,10 @@
 static long long overload_until;
 static int overload_wait_ms;
 static char overload_retry[32];
+static long long preempt_until;
+static long long last_stream; /* number of the newest stream */
+static long long oldest_preempted; /* number of the oldest preempted stream */
+static int streams; /* running */
 
 static long long
 now_ms(void)
@@ -72,6 +81,7 @@
 	char attempt[64];
 	char expected[64];
 	long long deadline; /* Unix milliseconds; 0: none */
+	int last_event; /* the stream goes on after this event */
 	size_t body_len;
 };
 
@@ -103,13 +113,17 @@
 	else if (n == 28 &&
 	    strncasecmp(line, "X-Poplarbeam-Expect-Instance", n) == 0)
 		snprintf(r->expected, sizeof(r->expected), "%.63s", value);
-	else if (n == 24 && strncasecmp(line, "X-Poplarbeam-Deadline-Ms", n) == 0)
+	else if (n == 24 &&
+	    strncasecmp(line, "X-Poplarbeam-Deadline-Ms", n) == 0)
 		r->deadline = now_ms() + atoll(value);
+	else if (n == 13 && strncasecmp(line, "Last-Event-Id", n) == 0)
+		r->last_event = atoi(value);
 	else if (n == 14 && strncasecmp(line, "Content-Length", n) == 0)
 		r->body_len = (size_t)atoll(value);
 }
 
-/* Reads a head and discards the body; returns 0 at the end of the connection. */
+/* Reads a head and discards the body; returns 0 at the end of the connection.
+ */
 static int
 read_request(int fd, struct request *r)
 {
@@ -170,8 +184,12 @@
 answer_stream(int fd, const struct request *r)
 {
 	char text[512], event[64];
-	int i;
+	long long number, until;
+	int i, preempted = 0;
 
+	pthread_mutex_lock(&lock);
+	number = ++last_stream;
+	pthread_mutex_unlock(&lock);
 	snprintf(text, sizeof(text),
 	    "HTTP/1.1 200 OK\r\nX-Poplarbeam-Attempt-Id: %s\r\n"
 	    "X-Poplarbeam-Instance-Id: %s\r\nX-Poplarbeam-Response-Seal: d.%s\r\n"
@@ -180,9 +198,19 @@
 	    r->attempt, id, r->attempt);
 	if (!send_text(fd, text))
 		return 0;
-	for (i = 1; i <= EVENTS; i++) {
-		snprintf(event, sizeof(event), "id: %d\ndata: part %d\n\n", i, i);
-		snprintf(text, sizeof(text), "%zx\r\n%s\r\n", strlen(event), event);
+	for (i = r->last_event + 1; i <= EVENTS; i++) {
+		pthread_mutex_lock(&lock);
+		until = number >= oldest_preempted ? preempt_until : 0;
+		pthread_mutex_unlock(&lock);
+		if (now_ms() < until) {
+			if (!preempted++)
+				note("preempted", r->attempt);
+			sleep_ms((int)(until - now_ms()));
+		}
+		snprintf(
+		    event, sizeof(event), "id: %d\ndata: part %d\n\n", i, i);
+		snprintf(
+		    text, sizeof(text), "%zx\r\n%s\r\n", strlen(event), event);
 		if (!send_text(fd, text))
 			return 0;
 		sleep_ms(work_ms);
@@ -196,8 +224,15 @@
 	int wait_ms, for_ms;
 	char retry[32];
 
-	if (sscanf(r->target, "/control/overload/%d/%31[^/]/%d", &wait_ms, retry,
-		&for_ms) != 3)
+	if (sscanf(r->target, "/control/preempt/%d", &for_ms) == 1) {
+		pthread_mutex_lock(&lock);
+		oldest_preempted = last_stream - streams / 2 + 1;
+		preempt_until = now_ms() + for_ms;
+		pthread_mutex_unlock(&lock);
+		return answer(fd, r, 200, "", "");
+	}
+	if (sscanf(r->target, "/control/overload/%d/%31[^/]/%d", &wait_ms,
+		retry, &for_ms) != 3)
 		return answer(fd, r, 404, "", "");
 	pthread_mutex_lock(&lock);
 	overload_wait_ms = wait_ms;
@@ -239,7 +274,13 @@
 	snprintf(fields, sizeof(fields), "X-Poplarbeam-Response-Seal: d.%s\r\n",
 	    r->attempt);
 	if (strncmp(r->target, "/stream/", 8) == 0) {
+		pthread_mutex_lock(&lock);
+		streams++;
+		pthread_mutex_unlock(&lock);
 		ok = answer_stream(fd, r);
+		pthread_mutex_lock(&lock);
+		streams--;
+		pthread_mutex_unlock(&lock);
 	} else {
 		sleep_ms(work_ms);
 		ok = answer(fd, r, 200, fields, "done");
@@ -255,7 +296,7 @@
 serve(int fd, const struct request *r)
 {
 	char fields[256], retry[32];
-	int overloaded, wait_ms;
+	int overloaded, full, wait_ms;
 
 	if (strncmp(r->target, "/control/", 9) == 0)
 		return serve_control(fd, r);
@@ -273,12 +314,17 @@
 		sleep_ms(wait_ms);
 		note("turned-away", r->attempt);
 		snprintf(fields, sizeof(fields),
-		    "X-Poplarbeam-Not-Executed: 1\r\nRetry-After: %s\r\n", retry);
+		    "X-Poplarbeam-Not-Executed: 1\r\nRetry-After: %s\r\n",
+		    retry);
 		return answer(fd, r, 503, fields, "");
 	}
-	if (!take_slot(r)) {
+	pthread_mutex_lock(&lock);
+	full = now_ms() < preempt_until;
+	pthread_mutex_unlock(&lock);
+	if (full || !take_slot(r)) {
 		note("turned-away", r->attempt);
-		return answer(fd, r, 503, "X-Poplarbeam-Not-Executed: 1\r\n", "");
+		return answer(
+		    fd, r, 503, "X-Poplarbeam-Not-Executed: 1\r\n", "");
 	}
 	return run_request(fd, r);
 }
@@ -302,8 +348,9 @@
 	int one = 1, fd, listener;
 
 	if (argc != 6) {
-		fprintf(stderr, "usage: review-engine PORT ID SLOTS WORK-MS "
-				"RECORD-FILE\n");
+		fprintf(stderr,
+		    "usage: review-engine PORT ID SLOTS WORK-MS "
+		    "RECORD-FILE\n");
 		return 2;
 	}
 	id = argv[2];
@@ -323,7 +370,8 @@
 	while ((fd = accept(listener, NULL, NULL)) >= 0) {
 		pthread_t thread;
 
-		if (pthread_create(&thread, NULL, serve_conn, (void *)(long)fd) == 0)
+		if (pthread_create(
+			&thread, NULL, serve_conn, (void *)(long)fd) == 0)
 			pthread_detach(thread);
 		else
 			close(fd);
