Review: keep the stand-ins beside the shell functions

Change: engine.c and client.c move up from review/standin, so that each folder of review/ is a case; each script reads TROUBLE itself.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,6 +2,7 @@
 # A router freezes; just after it, an engine leaves whose entry is removed. The
 # other routers of the zone go on sending requests to that engine, also when it
 # exits. The same as day.toml, in small. See claim.txt.
+trouble=${TROUBLE:-1}
 . "$(dirname "$0")/../lib.sh"
 
 start_store
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,11 +1,11 @@
 # Shell functions for the scripts of review/: the programs of the deploy file
 # with settings as its template makes them, the project's stand-in of the store,
-# and the stand-ins of review/standin. All on loopback. Sourced by bash in a
-# case's folder; needs bash, coreutils and awk.
+# and the stand-ins engine.c and client.c beside this file. All on loopback.
+# Sourced by bash in a case's folder; needs bash, coreutils and awk.
 
 case_dir=$(cd "$(dirname "$0")" && pwd)
 top=$(cd "$case_dir/../.." && pwd)
-trouble=${TROUBLE:-1}
+trouble=${trouble:-${TROUBLE:-1}}
 record="$case_dir/record.txt"
 dir=$(mktemp -d)
 pids=
