Log why removals of instances are deferred

The log said "after a store outage" although the store had served all the while, so it could not tell a real outage from a list that this router merely had not heard of for a while.

The line now names the time since the list was last confirmed, and whether requests of this router to the store failed in it. No logic changes.

--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -63,6 +63,8 @@
 void pb_drop_watch(struct pb_watch *watch);
 /* Returns true from a failed request to the next successful response. */
 bool pb_is_watch_failing(const struct pb_watch *watch);
+/* Returns the time of the last failed request, or 0 if there was none. */
+int64_t pb_last_watch_failure(const struct pb_watch *watch);
 /*
  * Cancels the call in progress and sends no requests until the watch is
  * resumed.
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -144,10 +144,19 @@
 pb_note_instances_fresh(struct pb_gateway *gw, int64_t fresh_us)
 {
 	int64_t before = gw->instances_fresh_us;
+	int64_t failed = pb_last_watch_failure(gw->instance_watch);
 
-	if (before != 0 && fresh_us - before > EXPIRY_GAP_US)
+	if (before != 0 && fresh_us - before > EXPIRY_GAP_US) {
+		pb_log(gw->ctx, PB_INFO, "list instances", NULL, NULL,
+		    "list confirmed %lld ms after the previous time; requests "
+		    "of this router to the store failed meanwhile: %s; "
+		    "removals are deferred for %lld ms",
+		    (long long)((fresh_us - before) / PB_MSEC),
+		    failed > before ? "yes" : "no",
+		    (long long)(REMOVAL_DELAY_US / PB_MSEC));
 		pb_defer_removals(
 		    gw->registry, pb_now(gw->ctx) + REMOVAL_DELAY_US);
+	}
 	if (fresh_us > before)
 		gw->instances_fresh_us = fresh_us;
 }
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -46,6 +46,7 @@
 	int64_t list_sent_us; /* when the listing in progress began */
 	int64_t listed_us; /* start of the last complete listing */
 	int64_t failing_us; /* first failure since the last success; 0: none */
+	int64_t failed_us; /* last failure; 0: none */
 	int64_t retry_us; /* delay after the next failure */
 	/* Minimum time between requests after a large response; 0: none. */
 	int64_t large_pause_us;
@@ -85,9 +86,10 @@
 	struct pb_gateway *gw = w->gw;
 	double jitter = 0.5 + pb_next_uniform(&gw->rnd);
 
+	w->failed_us = pb_now(gw->ctx);
 	if (w->failing_us == 0) {
 		w->retry_us = RETRY_MIN_US;
-		w->failing_us = pb_now(gw->ctx);
+		w->failing_us = w->failed_us;
 		pb_log(gw->ctx, PB_WARN, "watch store", gw->settings.store,
 		    NULL, "lost %s: %s", w->ops->name, why);
 	}
@@ -426,6 +428,12 @@
 	return watch->failing_us != 0;
 }
 
+int64_t
+pb_last_watch_failure(const struct pb_watch *watch)
+{
+	return watch != NULL ? watch->failed_us : 0;
+}
+
 void
 pb_pause_watch(struct pb_watch *watch)
 {
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -279,8 +279,8 @@
 		if (inst->remove_at_us == 0) {
 			inst->remove_at_us = registry->defer_until_us;
 			pb_log(ctx, PB_INFO, "list instances", NULL, NULL,
-			    "%s is no longer listed after a store outage; "
-			    "removal deferred for %lld ms",
+			    "%s is no longer listed; removal deferred for "
+			    "%lld ms",
 			    inst->id,
 			    (long long)((inst->remove_at_us - pb_now(ctx)) /
 				PB_MSEC));
