Do not take a silent followed router for an outage of the store

The store served all the while.

Cause: removals are deferred by 2.2 s when the list was not confirmed for 2 s, because entries may have expired in an outage. A router that follows another one hears nothing either while that one stands still: its list is 0.6 to 1.2 s old at the last answer, the next poll is sent up to 0.3 s later and times out after 1.1 s.

Change: an outage must have been seen. Removals are deferred after a gap of 2 s only if a request of this router to the store failed in it, and after 3 s in any case, which only a router that stood still itself can reach. A follower whose poll has no answer after 500 ms reads the list from the store as well, so that it hears of leaving instances 0.6 s earlier; an answer that is older than what the store has shown is discarded.

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -117,6 +117,18 @@
  */
 void pb_begin_listing(struct pb_registry *registry);
 void pb_end_listing(struct pb_context *ctx, struct pb_registry *registry);
+/* A time in which this router learned nothing of the platform's list. */
+struct pb_list_gap {
+	int64_t us; /* between two times at which its copy was current */
+	bool store_failed; /* a request of this router to the store failed */
+};
+
+/*
+ * Call with the gap before new data of the list is applied. Defers removals if
+ * entries may have expired in an outage of the store during the gap.
+ */
+void pb_note_list_gap(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_list_gap *gap);
 /* Defers removals that are seen before until_us to that time. */
 void pb_defer_removals(struct pb_registry *registry, int64_t until_us);
 /* Removes the instances whose deferred removal is due. */
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -39,6 +39,13 @@
 /* Time for the store to return the list of routers. */
 #define LIST_ANSWER_US (300 * PB_MSEC)
 #define ANSWER_LIMIT_US (1100 * PB_MSEC)
+/*
+ * A poll without a complete answer after this time is late. The router then
+ * reads the list of instances from the store as well: an instance that leaves
+ * must not get requests until the poll has timed out. The followed router
+ * answers within 250 ms.
+ */
+#define LATE_ANSWER_US (500 * PB_MSEC)
 /* Answer data that arrives within this time of the poll extends the timeout. */
 #define BODY_LIMIT_US (4 * PB_SEC)
 #define ROUTING_MAX (16 << 20) /* bytes */
@@ -70,12 +77,14 @@
 	uint64_t epoch; /* of the peer's registry; 0: not known */
 	uint64_t since;
 	int64_t sent_us;
+	int64_t give_up_us; /* when the poll in progress times out */
 	int64_t reported_us; /* own reports up to this time were sent */
 	int64_t reports_since; /* clock of the peer at its last answer */
 	int status;
 	int64_t routing_row; /* store version of the fetched configuration */
 	int64_t routing_fresh_us; /* when the peer's copy was current */
 	bool following;
+	bool reads_store_too; /* a poll is late: both sources are read */
 	bool routing_outdated; /* the peer has a newer configuration */
 	bool fetching_routing; /* the poll in progress gets the configuration */
 	bool starting; /* startup: not yet settled on the store or a peer */
@@ -109,6 +118,7 @@
 {
 	f->starting = false;
 	f->following = false;
+	f->reads_store_too = false;
 	pb_resume_watch(f->gw->routing_watch);
 	pb_resume_watch(f->gw->instance_watch);
 }
@@ -171,6 +181,28 @@
 	    pb_is_watch_failing(gw->instance_watch);
 }
 
+/*
+ * Returns true if the peer's list is older than this router's, which has read
+ * the store while the answer was late.
+ */
+static bool
+is_answer_outdated(const struct pb_follower *f, const struct change_answer *a)
+{
+	return f->reads_store_too &&
+	    a->list_row < pb_list_version(f->gw->registry);
+}
+
+/*
+ * Discards the answer. The next poll states the version of this router's list,
+ * and the peer answers it when it has caught up.
+ */
+static void
+skip_outdated_answer(struct pb_follower *f)
+{
+	f->epoch = 0;
+	pb_set_timer(f->timer, POLL_PAUSE_US);
+}
+
 static void
 apply_answer(struct pb_follower *f, const struct change_answer *a)
 {
@@ -214,6 +246,10 @@
 		drop_peer(f, why);
 		return;
 	}
+	if (is_answer_outdated(f, a)) {
+		skip_outdated_answer(f);
+		return;
+	}
 	apply_answer(f, a);
 	if (f->peer->hash >= f->own_hash && !is_store_unavailable(gw)) {
 		drop_peer(f, "the store is available again");
@@ -227,6 +263,7 @@
 		    (long long)(a->instances_age / PB_MSEC));
 	f->following = true;
 	f->starting = false;
+	f->reads_store_too = false;
 	if (pb_is_following(f))
 		pause_watches(gw);
 	if (f->routing_outdated)
@@ -235,6 +272,19 @@
 		pb_set_timer(f->timer, POLL_PAUSE_US);
 }
 
+/* Sets the timer to the next check of the poll in progress. */
+static void
+arm_poll_timer(struct pb_follower *f)
+{
+	int64_t now = pb_now(f->gw->ctx);
+	int64_t late = f->sent_us + LATE_ANSWER_US;
+	int64_t at = f->give_up_us;
+
+	if (pb_is_following(f) && !f->reads_store_too && late < at)
+		at = late;
+	pb_set_timer(f->timer, at > now ? at - now : 1);
+}
+
 static void
 on_head(struct pb_link_call *call)
 {
@@ -254,12 +304,15 @@
 on_body(struct pb_link_call *call, struct pb_str part)
 {
 	struct pb_follower *f = (struct pb_follower *)call;
+	int64_t now = pb_now(f->gw->ctx);
 
 	if (pb_append_buf(&f->answer, part.data, part.len) != PB_OK)
 		f->status = 0;
 	/* A full list may take a long time on a slow link. */
-	if (pb_now(f->gw->ctx) - f->sent_us < BODY_LIMIT_US)
-		pb_set_timer(f->timer, ANSWER_LIMIT_US);
+	if (now - f->sent_us < BODY_LIMIT_US) {
+		f->give_up_us = now + ANSWER_LIMIT_US;
+		arm_poll_timer(f);
+	}
 }
 
 /* Applies the configuration fetched from the peer. */
@@ -412,7 +465,9 @@
 	f->answer.len = 0;
 	f->status = 0;
 	f->sent_us = pb_now(gw->ctx);
-	pb_set_timer(f->timer, f->starting ? START_ANSWER_US : ANSWER_LIMIT_US);
+	f->give_up_us =
+	    f->sent_us + (f->starting ? START_ANSWER_US : ANSWER_LIMIT_US);
+	arm_poll_timer(f);
 	if (link == NULL || append_poll(f, &buf) != PB_OK ||
 	    pb_send_call(link, &f->call, (struct pb_str){buf.data, buf.len},
 		PB_STR_NONE) != PB_OK) {
@@ -459,6 +514,30 @@
 	pb_request_listing(f->gw->router_watch);
 }
 
+/* Checks a poll that has no complete answer yet. */
+static void
+check_poll(struct pb_follower *f)
+{
+	struct pb_gateway *gw = f->gw;
+	int64_t waited = pb_now(gw->ctx) - f->sent_us;
+
+	if (pb_now(gw->ctx) >= f->give_up_us) {
+		pb_cancel_call(&f->call);
+		drop_silent_peer(f, "the poll timed out");
+		return;
+	}
+	if (pb_is_following(f) && !f->reads_store_too &&
+	    waited >= LATE_ANSWER_US) {
+		f->reads_store_too = true;
+		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
+		    "no answer to a poll for %lld ms; reading the list of "
+		    "instances from the store as well",
+		    (long long)(waited / PB_MSEC));
+		pb_resume_watch(gw->instance_watch);
+	}
+	arm_poll_timer(f);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -467,8 +546,7 @@
 	(void)fd;
 	(void)what;
 	if (f->call.link != NULL) {
-		pb_cancel_call(&f->call);
-		drop_silent_peer(f, "the poll timed out");
+		check_poll(f);
 		return;
 	}
 	if (f->peer != NULL) {
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -93,9 +93,8 @@
 /* A router does not use a peer's list of instances that is older than this. */
 #define PB_INSTANCES_AGE_MAX_US (1400 * PB_MSEC)
 /*
- * Records that the list of instances was current at fresh_us. If that is long
- * after the previous time, entries may have expired meanwhile, and their
- * removal is deferred. Call before applying the new data.
+ * Records that the list of instances was current at fresh_us. Call before
+ * applying the new data.
  */
 void pb_note_instances_fresh(struct pb_gateway *gw, int64_t fresh_us);
 
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -2,14 +2,6 @@
 
 #include <string.h>
 
-/*
- * Instances that are alive write expired entries again within this time after
- * an outage of the store.
- */
-#define REMOVAL_DELAY_US (2200 * PB_MSEC)
-/* No entry can have expired unseen if the list was current this recently. */
-#define EXPIRY_GAP_US (2 * PB_SEC)
-
 /* How long the store may hold a request for the configuration. */
 #define ROUTING_WAIT_MS 1100
 /*
@@ -144,19 +136,11 @@
 pb_note_instances_fresh(struct pb_gateway *gw, int64_t fresh_us)
 {
 	int64_t before = gw->instances_fresh_us;
-	int64_t failed = pb_last_watch_failure(gw->instance_watch);
+	struct pb_list_gap gap = {fresh_us - before,
+	    pb_last_watch_failure(gw->instance_watch) > before};
 
-	if (before != 0 && fresh_us - before > EXPIRY_GAP_US) {
-		pb_log(gw->ctx, PB_INFO, "list instances", NULL, NULL,
-		    "list confirmed %lld ms after the previous time; requests "
-		    "of this router to the store failed meanwhile: %s; "
-		    "removals are deferred for %lld ms",
-		    (long long)((fresh_us - before) / PB_MSEC),
-		    failed > before ? "yes" : "no",
-		    (long long)(REMOVAL_DELAY_US / PB_MSEC));
-		pb_defer_removals(
-		    gw->registry, pb_now(gw->ctx) + REMOVAL_DELAY_US);
-	}
+	if (before != 0)
+		pb_note_list_gap(gw->ctx, gw->registry, &gap);
 	if (fresh_us > before)
 		gw->instances_fresh_us = fresh_us;
 }
--- a/tests/test-registry.c
+++ b/tests/test-registry.c
@@ -469,6 +469,59 @@
 	pb_drop_registry(ctx, reg);
 }
 
+/*
+ * Guards against requests to an instance that has left, because a router that
+ * heard nothing of the list for a while takes that for an outage of the store.
+ */
+static void
+test_gap_without_outage(void)
+{
+	struct pb_registry *reg = new_test_registry(2);
+	struct pb_list_gap gap = {2500 * PB_MSEC, false};
+
+	pb_note_list_gap(ctx, reg, &gap);
+	pb_remove_instance(ctx, reg, pb_str_from("i0"));
+	CU_ASSERT_EQUAL(pb_count_instances(reg), 1);
+	pb_drop_registry(ctx, reg);
+}
+
+/*
+ * Guards against instances that are removed because their entries expired in an
+ * outage that this router saw, or slept through.
+ */
+static void
+test_gap_with_outage(void)
+{
+	static const struct pb_list_gap gaps[] = {
+	    {2500 * PB_MSEC, true}, {3500 * PB_MSEC, false}};
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		struct pb_registry *reg = new_test_registry(2);
+
+		pb_note_list_gap(ctx, reg, &gaps[i]);
+		pb_remove_instance(ctx, reg, pb_str_from("i0"));
+		CU_ASSERT_EQUAL(pb_count_instances(reg), 2);
+		pb_advance_clock(&clk, 2200 * PB_MSEC);
+		pb_expire_instances(ctx, reg);
+		CU_ASSERT_EQUAL(pb_count_instances(reg), 1);
+		pb_drop_registry(ctx, reg);
+	}
+}
+
+/* Guards against removals deferred after a single failed request. */
+static void
+test_short_gap(void)
+{
+	struct pb_registry *reg = new_test_registry(2);
+	struct pb_list_gap gap = {1900 * PB_MSEC, true};
+
+	pb_note_list_gap(ctx, reg, &gap);
+	pb_remove_instance(ctx, reg, pb_str_from("i0"));
+	CU_ASSERT_EQUAL(pb_count_instances(reg), 1);
+	pb_drop_registry(ctx, reg);
+}
+
 /* Guards against load that is kept for the next process of an instance. */
 static void
 test_restart(void)
@@ -794,8 +847,11 @@
 	    {"shared outcomes", test_shared_outcomes},
 	    {"leaving", test_leaving},
 	    {"expired entries", test_expired_entries},
-	    {"restart", test_restart}, {"changes", test_changes},
-	    {"heartbeats", test_heartbeats}, {"versions", test_versions},
+	    {"gap without outage", test_gap_without_outage},
+	    {"gap with outage", test_gap_with_outage},
+	    {"short gap", test_short_gap}, {"restart", test_restart},
+	    {"changes", test_changes}, {"heartbeats", test_heartbeats},
+	    {"versions", test_versions},
 	    {"version with deferred removal",
 		test_version_with_deferred_removal},
 	    CU_TEST_INFO_NULL};
