Do not take a torn response head for a whole answer

Another operator reported callers that got a 200 with an empty body, framed as whole, after an engine had closed within the head of its answer. It can happen in poplarbeamd: libcurl reports success when the connection ends within the head, and a Content-Length or chunked line read so far made the call complete.

A call is now complete only if the end of the head was read. The test of seven torn heads, test-upstream, failed before with PB_OK and complete, and passes.

--- a/source/upstream/upstream-client.c
+++ b/source/upstream/upstream-client.c
@@ -328,10 +328,15 @@
 	const char *peer = t->call->peer;
 
 	r->sent = t->send_count > 0;
-	if (rc == CURLE_OK && (t->head.framed || !has_body(t))) {
+	if (rc == CURLE_OK && t->head.done &&
+	    (t->head.framed || !has_body(t))) {
 		r->complete = true;
 		return PB_OK;
 	}
+	/* libcurl reports success when the connection ends within the head. */
+	if (rc == CURLE_OK && !t->head.done)
+		return pb_set_error(t->ctx, PB_EPROTO, "receive", peer,
+		    "connection closed within the response head");
 	if (t->head.fault != NULL)
 		return pb_set_error(t->ctx, PB_EPROTO, "receive", peer,
 		    "cannot read the response head: %s", t->head.fault);
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -41,6 +41,14 @@
 	return n > 0;
 }
 
+static void
+send_script(int fd, const char *script)
+{
+	if (script == NULL)
+		return;
+	send(fd, script, strlen(script), MSG_NOSIGNAL);
+}
+
 static void *
 serve(void *arg)
 {
@@ -52,9 +60,7 @@
 			if (!read_request(s, fd))
 				break;
 			s->requests++;
-			if (s->scripts[i] != NULL)
-				send(fd, s->scripts[i], strlen(s->scripts[i]),
-				    MSG_NOSIGNAL);
+			send_script(fd, s->scripts[i]);
 			i++;
 		} while (s->keep_alive && i < s->count);
 		close(fd);
@@ -141,6 +147,39 @@
 	pb_drop_client(ctx, client);
 }
 
+/*
+ * Guards against a response that is reported as complete although its head
+ * breaks off, after which the caller gets an empty body that looks whole.
+ */
+static void
+test_torn_head(void)
+{
+	const char *scripts[] = {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 5",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b",
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	    "HTTP/1.1 204 No Content\r\n"};
+	int i, n = (int)(sizeof(scripts) / sizeof(scripts[0]));
+	struct pb_client *client = pb_new_client(ctx, 4);
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	struct server s;
+
+	start(&s, scripts, n, false);
+	for (i = 0; i < n; i++) {
+		int rc = call(client, s.address, true, &sink, &res);
+
+		CU_ASSERT_NOT_EQUAL(rc, PB_OK);
+		CU_ASSERT_FALSE(res.complete);
+		CU_ASSERT_TRUE(res.sent);
+		CU_ASSERT_EQUAL(sink.status, 0);
+		pb_clear_buf(&sink.body);
+	}
+	stop(&s);
+	pb_drop_client(ctx, client);
+}
+
 /* Guards against a request that may have been sent but is reported unsent. */
 static void
 test_sent(void)
@@ -410,7 +449,8 @@
 main(void)
 {
 	static CU_TestInfo tests[] = {{"truncated", test_truncated},
-	    {"sent", test_sent}, {"no resend", test_no_resend},
+	    {"torn head", test_torn_head}, {"sent", test_sent},
+	    {"no resend", test_no_resend},
 	    {"sent on reused", test_sent_on_reused},
 	    {"sse pieces", test_sse_pieces}, {"sse reset", test_sse_reset},
 	    {"sse blank lines", test_sse_blank},
