Limit the bytes before the end of a response head

Another operator's engine sent bytes that were no answer, without end, and a router kept them all. In poplarbeamd the fields of interim responses were kept until the call ended, with no limit of our own; with the libcurl installed here the call ended by that library's limit, as an unknown error.

A head with its interim responses may now have 64 KiB. test-upstream sends interim responses without end; the call ends with a protocol error at once (before: PB_EUNKNOWN).

--- a/source/upstream/upstream-head.c
+++ b/source/upstream/upstream-head.c
@@ -108,6 +108,9 @@
 {
 	if (h->done)
 		return HEAD_INCOMPLETE;
+	h->bytes += len;
+	if (h->bytes > UPSTREAM_HEAD_BYTES_MAX)
+		return fail(h, "too many bytes");
 	if (len > 0 && line[len - 1] == '\n')
 		len--;
 	if (len > 0 && line[len - 1] == '\r')
--- a/source/upstream/upstream-head.h
+++ b/source/upstream/upstream-head.h
@@ -12,6 +12,12 @@
 /* Maximum number of headers from an upstream; 4 are reserved for relays. */
 #define UPSTREAM_HEADERS_MAX (PB_CALL_HEADERS_MAX - 4)
 
+/*
+ * Maximum size of the lines up to the end of the final head, in bytes. Interim
+ * responses count, as an upstream may send them without end.
+ */
+#define UPSTREAM_HEAD_BYTES_MAX 65536
+
 enum head_result {
 	HEAD_INCOMPLETE, /* more lines are expected */
 	HEAD_COMPLETE, /* returned once, at the end of the final head */
@@ -24,6 +30,7 @@
 	int status;
 	struct pb_header headers[PB_CALL_HEADERS_MAX];
 	size_t header_count;
+	size_t bytes; /* of all lines so far */
 	size_t upstream_header_count; /* headers that routers do not set */
 	bool framed; /* has a Content-Length or is chunked */
 	bool chunked;
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -22,6 +22,7 @@
 	_Atomic int requests;
 	_Atomic size_t received; /* size of the last request, up to 4 KiB */
 	bool keep_alive; /* serve several requests on a connection */
+	bool endless; /* repeat the response until the client closes */
 	pthread_t thread;
 };
 
@@ -42,11 +43,12 @@
 }
 
 static void
-send_script(int fd, const char *script)
+send_script(const struct server *s, int fd, const char *script)
 {
 	if (script == NULL)
 		return;
-	send(fd, script, strlen(script), MSG_NOSIGNAL);
+	while (send(fd, script, strlen(script), MSG_NOSIGNAL) > 0 && s->endless)
+		;
 }
 
 static void *
@@ -60,7 +62,7 @@
 			if (!read_request(s, fd))
 				break;
 			s->requests++;
-			send_script(fd, s->scripts[i]);
+			send_script(s, fd, s->scripts[i]);
 			i++;
 		} while (s->keep_alive && i < s->count);
 		close(fd);
@@ -180,6 +182,30 @@
 	pb_drop_client(ctx, client);
 }
 
+/*
+ * Guards against an upstream that exhausts the memory with a head that never
+ * ends: many lines, or interim responses without end.
+ */
+static void
+test_endless_head(void)
+{
+	const char *scripts[] = {
+	    "HTTP/1.1 102 Processing\r\nX-Fill: 0123456789abcdef\r\n\r\n"};
+	struct pb_client *client = pb_new_client(ctx, 4);
+	int64_t begin = pb_now(ctx);
+	struct pb_buffer_sink sink;
+	struct pb_call_result res;
+	struct server s;
+
+	start(&s, scripts, 1, false);
+	s.endless = true;
+	CU_ASSERT_EQUAL(call(client, s.address, true, &sink, &res), PB_EPROTO);
+	CU_ASSERT_TRUE(pb_now(ctx) - begin < 2 * PB_SEC);
+	pb_clear_buf(&sink.body);
+	stop(&s);
+	pb_drop_client(ctx, client);
+}
+
 /* Guards against a request that may have been sent but is reported unsent. */
 static void
 test_sent(void)
@@ -449,8 +475,8 @@
 main(void)
 {
 	static CU_TestInfo tests[] = {{"truncated", test_truncated},
-	    {"torn head", test_torn_head}, {"sent", test_sent},
-	    {"no resend", test_no_resend},
+	    {"torn head", test_torn_head}, {"endless head", test_endless_head},
+	    {"sent", test_sent}, {"no resend", test_no_resend},
 	    {"sent on reused", test_sent_on_reused},
 	    {"sse pieces", test_sse_pieces}, {"sse reset", test_sse_reset},
 	    {"sse blank lines", test_sse_blank},
