--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -38,6 +38,12 @@
  *   endless-noise, endless-head, endless-body, endless-event
  *             sends bytes that are not HTTP, or a head, a body without a length
  *             or an event that never ends, as fast as the peer reads
+ *   endless-interim, endless-extension, endless-trailer, endless-other
+ *             the same with interim responses, a chunk extension, a trailer or
+ *             a response to another request that never ends
+ *   half-head, half-line, half-framed
+ *             sends part of a response head and closes: within a field, after a
+ *             whole field, or after all fields but not their end
  *
  * A request whose prompt prefix has the part "crash" before its last part
  * aborts the process when its response begins, whatever the action.
@@ -69,6 +75,7 @@
 #define FILLER_BYTES 16384
 #define LARGE_BODY_BYTES (192 * FILLER_BYTES)
 #define BODY_PREFIX "answer of "
+#define INTERIM_RESPONSE "HTTP/1.1 102 X\r\nX-Fill: 0123456789abcdef\r\n\r\n"
 
 struct run {
 	char id[64];
@@ -238,6 +245,10 @@
 	char filler[FILLER_BYTES];
 
 	memset(filler, 'x', sizeof(filler));
+	if (is_action(c, "endless-interim")) {
+		evbuffer_add_printf(out, INTERIM_RESPONSE);
+		return;
+	}
 	if (is_action(c, "endless-event"))
 		evbuffer_add_printf(out, "%x\r\n", FILLER_BYTES);
 	evbuffer_add(out, filler, sizeof(filler));
@@ -251,12 +262,22 @@
 	struct evbuffer *out = bufferevent_get_output(c->bev);
 
 	c->endless = true;
-	if (!is_action(c, "endless-noise"))
-		send_response_head(c, 200, c->request_id, true);
+	if (!is_action(c, "endless-noise") && !is_action(c, "endless-interim"))
+		send_response_head(c, 200,
+		    is_action(c, "endless-other") ? "another-request"
+						  : c->request_id,
+		    true);
 	if (is_action(c, "endless-head"))
 		evbuffer_add_printf(out, "X-Fill: ");
-	if (is_action(c, "endless-body"))
+	if (is_action(c, "endless-body") || is_action(c, "endless-other"))
 		evbuffer_add_printf(out, "Connection: close\r\n\r\n");
+	if (is_action(c, "endless-extension"))
+		evbuffer_add_printf(
+		    out, "Transfer-Encoding: chunked\r\n\r\n4;x=");
+	if (is_action(c, "endless-trailer"))
+		evbuffer_add_printf(out,
+		    "Transfer-Encoding: chunked\r\n\r\n"
+		    "4\r\nhalf\r\n0\r\nX-Fill: ");
 	if (is_action(c, "endless-event"))
 		evbuffer_add_printf(out,
 		    "Content-Type: text/event-stream\r\n"
@@ -427,6 +448,27 @@
 	    strncmp(c->action, "open", 4) == 0;
 }
 
+/* Sends a part of a response head and closes the connection. */
+static void
+send_half_head(struct conn *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	send_response_head(c, 200, c->request_id, true);
+	if (is_action(c, "half-framed"))
+		evbuffer_add_printf(out, "Content-Length: 4\r\n");
+	if (is_action(c, "half-head"))
+		evbuffer_add_printf(out, "Content-Len");
+	close_after_flush(c);
+}
+
+static bool
+sends_half_head(const struct conn *c)
+{
+	return is_action(c, "half-head") || is_action(c, "half-line") ||
+	    is_action(c, "half-framed");
+}
+
 static void
 perform_action(struct conn *c)
 {
@@ -440,6 +482,8 @@
 		send_large(c);
 	} else if (strncmp(c->action, "endless-", 8) == 0) {
 		start_endless(c);
+	} else if (sends_half_head(c)) {
+		send_half_head(c);
 	} else if (is_action(c, "mute")) {
 		close_after_flush(c);
 	} else if (is_action(c, "cut")) {
--- a/tests/scripts/gateway-broken-streams.sh
+++ b/tests/scripts/gateway-broken-streams.sh
@@ -1,5 +1,6 @@
 # Guards against a stream that breaks and goes on with the answer of the next
-# instance, whatever that is, or ends as if it were complete.
+# instance, whatever that is, or ends as if it were complete, and against an
+# answer whose head breaks off and that is passed on as whole.
 cd "$(dirname "$0")/../.." || exit 2
 . tests/lib/gateway-lib.sh
 begin_report
@@ -18,4 +19,10 @@
 	echo "$action: $(send_request 1 "s-$action" "/tale/$action" \
 	    -d x), $(count_runs "s-$action") runs"
 done
+for action in half-head half-line half-framed; do
+	for path in /once /tale /flow; do
+		echo "$action, $path: $(send_request 1 "h$path-$action" \
+		    "$path/$action" -d x)"
+	done
+done
 end_report gateway-broken-streams
--- a/tests/scripts/gateway-endless.sh
+++ b/tests/scripts/gateway-endless.sh
@@ -1,6 +1,6 @@
 # Tests answers that never end. Guards against instances that exhaust a
-# router's memory with endless headers, bodies, events or bytes that are not
-# HTTP, against streams that send single bytes and are kept open until the
+# router's memory or time with endless headers, bodies, events, interim
+# responses, chunk extensions, trailers or bytes that are not HTTP, against streams that send single bytes and are kept open until the
 # request times out, and against valid answers that are cut because they are
 # long or slow.
 cd "$(dirname "$0")/../.." || exit 2
@@ -47,6 +47,10 @@
 flood endless-body /safe
 flood endless-event /tale
 flood endless-event /flow
+flood endless-interim /once
+flood endless-extension /once
+flood endless-trailer /once
+flood endless-other /once
 
 # Large request bodies that the instance never answers, $callers at a time.
 BODY_LIMIT=4194304 apply_config 2
