End exchanges in one place, by a typed reason

Exchanges ended in the files for attempts, waits, memory, containment and timers, each with a text and a status of its own. pb_end_exchange() takes a reason; pb_decide_ending() chooses from it, from whether the request may have run and from whether an answer has begun what the caller is told, without a network. Reasons are counted by enum; texts in logs and metrics are unchanged.

--- /dev/null
+++ b/include/poplarbeam/ending.h
@@ -0,0 +1,64 @@
+#ifndef POPLARBEAM_ENDING_H
+#define POPLARBEAM_ENDING_H
+
+#include <stdbool.h>
+
+/*
+ * How a request ends: what its caller is told for each reason, given what is
+ * known of the request. Uses no sockets.
+ */
+
+enum pb_end_reason {
+	PB_END_COMPLETE, /* the upstream's successful response */
+	PB_END_UPSTREAM_ANSWER, /* the upstream's response of another status */
+	PB_END_CALLER_LEFT,
+	PB_END_NO_MEMORY,
+	PB_END_NO_ATTEMPT_LEFT,
+	PB_END_CRASHING_REQUEST,
+	PB_END_CRASHING_PART,
+	PB_END_NO_INSTANCE,
+	PB_END_BROKEN,
+	PB_END_ATTEMPT_FAILED,
+	PB_END_TOO_LONG,
+	PB_END_BUFFER_LIMIT,
+	PB_END_DRIBBLING,
+	PB_END_NOT_SENT,
+	PB_END_TIMEOUT,
+	PB_END_NO_ROOM,
+	PB_END_NO_ROOM_IN_TIME,
+	PB_END_ALL_PAUSED,
+	PB_END_STOPPING,
+	PB_END_REASONS /* number of reasons */
+};
+
+/* What is known of a request when it ends. */
+struct pb_end_state {
+	bool has_caller; /* the caller's connection is open */
+	bool may_have_run; /* an upstream may have begun to run it */
+	bool answer_begun; /* part of a response was sent to the caller */
+};
+
+enum pb_end_action {
+	PB_END_NOTHING, /* nobody waits for an answer */
+	PB_END_FORWARD, /* send the upstream's response */
+	PB_END_SEND_STATUS,
+	/* Close the connection: the response that has begun is not whole. */
+	PB_END_CLOSE
+};
+
+struct pb_ending {
+	enum pb_end_action action;
+	/*
+	 * The status that tells most of the request, also if it is not sent; 0:
+	 * that of the upstream or of the part that was sent. 503 means that the
+	 * request has not run, 502 and 504 that it may have.
+	 */
+	int status;
+};
+
+struct pb_ending pb_decide_ending(
+    enum pb_end_reason reason, const struct pb_end_state *state);
+/* Returns the text of the reason for the log and the metrics. */
+const char *pb_end_reason_text(enum pb_end_reason reason);
+
+#endif
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -105,23 +105,13 @@
 	    (long long)x->routing->version);
 }
 
-/* Ends the request with an error status because no further attempt is made. */
-static void
-fail_request(struct pb_exchange *x, const char *why)
-{
-	if (x->retry_after_us == 0)
-		x->retry_after_us =
-		    pb_reopening_left(x->gw->ctx, x->gw->registry, x->service);
-	pb_fail_exchange(x, x->may_have_run ? 502 : 503, why);
-}
-
 void
 pb_next_attempt(struct pb_exchange *x)
 {
 	struct pb_gateway *gw = x->gw;
 	struct pb_placement_facts facts;
 	struct pb_instance *inst;
-	const char *refusal;
+	enum pb_end_reason refusal;
 
 	pb_release_instance(x);
 	pb_clear_buf(&x->response);
@@ -133,12 +123,11 @@
 	x->info = (struct pb_response_info){0};
 	if (x->tried_count == PB_TRIED_MAX ||
 	    x->deadline_us - pb_now(gw->ctx) < ATTEMPT_MIN_US) {
-		fail_request(x, "no attempt left");
+		pb_end_exchange(x, PB_END_NO_ATTEMPT_LEFT);
 		return;
 	}
-	refusal = pb_find_refusal(x);
-	if (refusal != NULL) {
-		fail_request(x, refusal);
+	if (pb_find_refusal(x, &refusal)) {
+		pb_end_exchange(x, refusal);
 		return;
 	}
 	inst = pb_choose_for_exchange(x, &facts);
@@ -147,7 +136,7 @@
 		return;
 	}
 	if (inst == NULL) {
-		fail_request(x, "no instance");
+		pb_end_exchange(x, PB_END_NO_INSTANCE);
 		return;
 	}
 	x->instance = pb_keep_instance(inst);
@@ -290,7 +279,7 @@
 		x->unusable = true;
 	pb_update_response_memory(x);
 	if (pb_is_response_too_large(x))
-		pb_end_attempt(x, "too long");
+		pb_end_attempt(x, PB_END_TOO_LONG);
 	else
 		pb_enforce_memory_limit(x->gw);
 }
@@ -309,35 +298,9 @@
 static void
 deliver_response(struct pb_exchange *x)
 {
-	struct pb_conn *conn = x->conn;
-	struct pb_buf fields = x->response_fields;
-	struct pb_buf body = x->response;
-	bool started = x->started, streaming = x->streaming;
-	int status = x->status;
-
-	x->response_fields = (struct pb_buf){0};
-	x->response = (struct pb_buf){0};
-	pb_update_response_memory(x);
-	x->conn = NULL;
 	x->may_have_run = true;
-	pb_finish_exchange(x, status < 300 ? "complete" : "upstream's answer");
-	if (conn == NULL)
-		goto out;
-	conn->exchange = NULL;
-	if (!streaming) {
-		pb_send_response(conn, status,
-		    (struct pb_str){fields.data, fields.len},
-		    (struct pb_str){body.data, body.len});
-		goto out;
-	}
-	if (!started)
-		pb_start_response(
-		    conn, status, (struct pb_str){fields.data, fields.len});
-	pb_send_response_part(conn, (struct pb_str){body.data, body.len});
-	pb_end_response(conn);
-out:
-	pb_clear_buf(&fields);
-	pb_clear_buf(&body);
+	pb_end_exchange(
+	    x, x->status < 300 ? PB_END_COMPLETE : PB_END_UPSTREAM_ANSWER);
 }
 
 static void
@@ -354,14 +317,14 @@
 }
 
 void
-pb_end_attempt(struct pb_exchange *x, const char *why)
+pb_end_attempt(struct pb_exchange *x, enum pb_end_reason reason)
 {
-	log_failed_attempt(x, why);
+	log_failed_attempt(x, pb_end_reason_text(reason));
 	if (x->instance != NULL)
 		pb_note_outcome(x->gw->ctx, x->gw->registry, x->instance, true);
 	x->may_have_run = true;
 	pb_cancel_call(&x->call);
-	pb_fail_exchange(x, 502, why);
+	pb_end_exchange(x, reason);
 }
 
 /* Returns true if the stream ended within an event. */
@@ -400,7 +363,7 @@
 	if (x->repeatable && pb_take_attempt(x))
 		pb_next_attempt(x);
 	else
-		fail_request(x, "connection broken");
+		pb_end_exchange(x, PB_END_BROKEN);
 }
 
 static void
@@ -436,7 +399,7 @@
 	    x->info.sealed && !x->started)
 		deliver_response(x);
 	else
-		fail_request(x, "attempt failed");
+		pb_end_exchange(x, PB_END_ATTEMPT_FAILED);
 }
 
 static void
--- a/source/gateway/gateway-contain.c
+++ b/source/gateway/gateway-contain.c
@@ -26,8 +26,8 @@
 	return 1 + x->shared_part_count;
 }
 
-const char *
-pb_find_refusal(struct pb_exchange *x)
+bool
+pb_find_refusal(struct pb_exchange *x, enum pb_end_reason *reason)
 {
 	struct pb_gateway *gw = x->gw;
 	size_t i;
@@ -39,11 +39,11 @@
 		if (left == 0)
 			continue;
 		x->retry_after_us = left;
-		return i == 0 ? "was in progress in several crashes"
-			      : "a prompt part was in progress in several "
-				"crashes";
+		*reason =
+		    i == 0 ? PB_END_CRASHING_REQUEST : PB_END_CRASHING_PART;
+		return true;
 	}
-	return NULL;
+	return false;
 }
 
 /* Records that the shared parts of the prompt do not crash instances. */
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -84,63 +84,6 @@
 	free(x);
 }
 
-static const char *
-kind_name(enum pb_route_kind kind)
-{
-	static const char *const names[] = {
-	    "idempotent", "non_idempotent", "streaming"};
-
-	return names[kind];
-}
-
-void
-pb_finish_exchange(struct pb_exchange *x, const char *outcome)
-{
-	struct pb_gateway *gw = x->gw;
-	int64_t now = pb_now(gw->ctx);
-	char first[48] = "no part passed on";
-
-	if (x->first_us == 0)
-		pb_note_latency(x);
-	else
-		snprintf(first, sizeof(first), "first part after %lld ms",
-		    (long long)((x->first_us - x->received_us) / PB_MSEC));
-	pb_log(gw->ctx, PB_INFO, "end request", NULL, x->log_id,
-	    "%s; route %.*s (%s), account %.*s, attempts %d, status %d, "
-	    "%s, all after %lld ms, may have run: %s, configuration %lld",
-	    outcome, (int)x->route->name.len, x->route->name.data,
-	    kind_name(x->route->kind),
-	    x->account != NULL ? (int)x->account->name.len : 0,
-	    x->account != NULL ? x->account->name.data : "", x->attempts,
-	    x->status, first, (long long)((now - x->received_us) / PB_MSEC),
-	    x->may_have_run ? "yes" : "no", (long long)x->routing->version);
-	pb_count_outcome(
-	    gw->metrics, x->route->kind, outcome, now - x->received_us);
-	pb_drop_exchange(x);
-}
-
-void
-pb_fail_exchange(struct pb_exchange *x, int status, const char *why)
-{
-	struct pb_conn *conn = x->conn;
-	int64_t left = x->deadline_us - pb_now(x->gw->ctx);
-	int64_t retry_after = x->retry_after_us;
-	bool started = x->started;
-
-	x->conn = NULL;
-	x->status = status;
-	pb_finish_exchange(x, why);
-	if (conn == NULL)
-		return;
-	conn->exchange = NULL;
-	if (started)
-		pb_abort_response(conn);
-	else if (status == 503)
-		pb_refuse_conn(conn, status, left, retry_after);
-	else
-		pb_send_response(conn, status, PB_STR_NONE, PB_STR_NONE);
-}
-
 /* Returns true if another attempt replaces one that is silent for too long. */
 static bool
 retries_silent_attempt(const struct pb_exchange *x)
@@ -215,12 +158,10 @@
 static void
 expire_exchange(struct pb_exchange *x)
 {
-	if (x->attempts == 0 && !x->may_have_run) {
-		pb_fail_exchange(x, 503, "not sent in time");
-		return;
-	}
-	x->may_have_run = true;
-	pb_fail_exchange(x, 504, "timeout");
+	bool sent = x->attempts > 0 || x->may_have_run;
+
+	x->may_have_run = sent;
+	pb_end_exchange(x, sent ? PB_END_TIMEOUT : PB_END_NOT_SENT);
 }
 
 /* Replaces an attempt that is silent for too long, if another is allowed. */
@@ -276,12 +217,11 @@
 	if (now >= x->deadline_us)
 		expire_exchange(x);
 	else if (x->waiter.queued && now >= x->wait_end_us)
-		pb_fail_exchange(
-		    x, x->may_have_run ? 502 : 503, "no room in time");
+		pb_end_exchange(x, PB_END_NO_ROOM_IN_TIME);
 	else if (x->call.link == NULL || now < at)
 		pb_arm_exchange(x);
 	else if (now >= find_stream_end(x))
-		pb_end_attempt(x, "no whole event for too long");
+		pb_end_attempt(x, PB_END_DRIBBLING);
 	else if (x->call.link->connected && !retries_silent_attempt(x))
 		note_silence(x);
 	else
@@ -298,7 +238,7 @@
 	pb_update_conn_memory(conn);
 	x->timer = evtimer_new(x->gw->base, on_timer, x);
 	if (x->timer == NULL) {
-		pb_fail_exchange(x, 503, "out of memory");
+		pb_end_exchange(x, PB_END_NO_MEMORY);
 		return;
 	}
 	pb_set_fingerprints(x);
@@ -316,5 +256,5 @@
 	 */
 	if (x->route->kind == PB_ROUTE_NON_IDEMPOTENT && x->call.link != NULL)
 		return;
-	pb_finish_exchange(x, "caller left");
+	pb_end_exchange(x, PB_END_CALLER_LEFT);
 }
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -115,16 +115,19 @@
 /* gateway-attempt.c: chooses an upstream and sends the request. */
 void pb_next_attempt(struct pb_exchange *x);
 /* Ends an attempt whose response cannot be used, and its exchange. */
-void pb_end_attempt(struct pb_exchange *x, const char *why);
-/* Ends the exchange without a response of an upstream. */
-void pb_fail_exchange(struct pb_exchange *x, int status, const char *why);
-/* Counts and logs the outcome and frees the exchange. */
-void pb_finish_exchange(struct pb_exchange *x, const char *outcome);
+void pb_end_attempt(struct pb_exchange *x, enum pb_end_reason reason);
 /* Releases the instance of the current attempt. */
 void pb_release_instance(struct pb_exchange *x);
 /* Returns true if another attempt is allowed, and charges the retry budget. */
 bool pb_take_attempt(struct pb_exchange *x);
 
+/* gateway-end.c */
+/*
+ * Ends the exchange: sends the answer that the reason and the state of the
+ * exchange call for, logs and counts the reason, and frees the exchange.
+ */
+void pb_end_exchange(struct pb_exchange *x, enum pb_end_reason reason);
+
 /* gateway-selfreport.c */
 /*
  * Applies what the instance says of itself in the head of an answer, which is
@@ -136,10 +139,10 @@
 /* Sets the fingerprints. The body and the account must be set. */
 void pb_set_fingerprints(struct pb_exchange *x);
 /*
- * Returns why the request is refused, and sets when its caller may retry.
- * Returns NULL if it may run.
+ * Returns true if the request must not run, and sets the reason and when its
+ * caller may retry.
  */
-const char *pb_find_refusal(struct pb_exchange *x);
+bool pb_find_refusal(struct pb_exchange *x, enum pb_end_reason *reason);
 /* Records that the request received a complete response. */
 void pb_note_sound_request(struct pb_exchange *x);
 /* Records that an event of the response has arrived. */
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -2,6 +2,7 @@
 #define GATEWAY_INTERNAL_H
 
 #include "poplarbeam/admission.h"
+#include "poplarbeam/ending.h"
 #include "poplarbeam/gateway.h"
 #include "poplarbeam/retry.h"
 #include "poplarbeam/suspects.h"
@@ -165,6 +166,8 @@
 /* Sends a complete request; a link carries one call at a time. */
 int pb_send_call(struct pb_link *link, struct pb_link_call *call,
     struct pb_str head, struct pb_str body);
+/* Returns true if the upstream may have received part of the request. */
+bool pb_is_sent(const struct pb_link_call *call);
 /* Cancels the call, if in progress, and closes its connection. */
 void pb_cancel_call(struct pb_link_call *call);
 /*
@@ -270,8 +273,9 @@
 /* gateway-metrics.c */
 struct pb_gateway_metrics *pb_new_gateway_metrics(void);
 void pb_drop_gateway_metrics(struct pb_gateway_metrics *metrics);
-void pb_count_outcome(struct pb_gateway_metrics *metrics,
-    enum pb_route_kind kind, const char *outcome, int64_t us);
+/* Counts a request that ended after us microseconds. */
+void pb_count_ending(struct pb_gateway_metrics *metrics,
+    enum pb_route_kind kind, enum pb_end_reason reason, int64_t us);
 int pb_format_gateway_metrics(const struct pb_gateway *gw, struct pb_buf *buf);
 
 /* gateway-stop.c */
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -330,6 +330,12 @@
 	(void)part;
 }
 
+bool
+pb_is_sent(const struct pb_link_call *call)
+{
+	return call->link != NULL && call->link->connected;
+}
+
 void
 pb_cancel_call(struct pb_link_call *call)
 {
--- a/source/gateway/gateway-memory.c
+++ b/source/gateway/gateway-memory.c
@@ -90,7 +90,7 @@
 		if (response == 0 && held == 0)
 			return;
 		if (response >= held) {
-			pb_end_attempt(x, "too much is buffered");
+			pb_end_attempt(x, PB_END_BUFFER_LIMIT);
 			continue;
 		}
 		/*
--- a/source/gateway/gateway-metrics.c
+++ b/source/gateway/gateway-metrics.c
@@ -4,17 +4,10 @@
 #include <string.h>
 
 #define BUCKETS 16 /* upper bounds are powers of two from 1 ms */
-#define OUTCOMES_MAX 32
 #define KINDS 3
 
-struct outcome_count {
-	const char *outcome; /* static text */
-	int64_t count[KINDS];
-};
-
 struct pb_gateway_metrics {
-	struct outcome_count outcomes[OUTCOMES_MAX];
-	size_t outcome_count;
+	int64_t endings[PB_END_REASONS][KINDS];
 	int64_t latency[KINDS][BUCKETS + 1];
 	int64_t latency_sum_us[KINDS];
 };
@@ -31,21 +24,6 @@
 	free(metrics);
 }
 
-static struct outcome_count *
-find_outcome(struct pb_gateway_metrics *m, const char *outcome)
-{
-	size_t i;
-
-	for (i = 0; i < m->outcome_count; i++) {
-		if (strcmp(m->outcomes[i].outcome, outcome) == 0)
-			return &m->outcomes[i];
-	}
-	if (m->outcome_count == OUTCOMES_MAX)
-		return &m->outcomes[OUTCOMES_MAX - 1];
-	m->outcomes[m->outcome_count].outcome = outcome;
-	return &m->outcomes[m->outcome_count++];
-}
-
 static size_t
 find_bucket(int64_t us)
 {
@@ -58,10 +36,10 @@
 }
 
 void
-pb_count_outcome(struct pb_gateway_metrics *metrics, enum pb_route_kind kind,
-    const char *outcome, int64_t us)
+pb_count_ending(struct pb_gateway_metrics *metrics, enum pb_route_kind kind,
+    enum pb_end_reason reason, int64_t us)
 {
-	find_outcome(metrics, outcome)->count[kind]++;
+	metrics->endings[reason][kind]++;
 	metrics->latency[kind][find_bucket(us)]++;
 	metrics->latency_sum_us[kind] += us;
 }
@@ -140,6 +118,19 @@
 	    (double)(now - gw->instances_fresh_us) / PB_SEC);
 }
 
+/* Returns true if no request has ended for the reason. */
+static bool
+is_unused(const struct pb_gateway_metrics *m, size_t reason)
+{
+	size_t k;
+
+	for (k = 0; k < KINDS; k++) {
+		if (m->endings[reason][k] != 0)
+			return false;
+	}
+	return true;
+}
+
 int
 pb_format_gateway_metrics(const struct pb_gateway *gw, struct pb_buf *buf)
 {
@@ -147,13 +138,15 @@
 	size_t i, k;
 	int rc = format_state(gw, buf);
 
-	for (i = 0; i < m->outcome_count; i++) {
+	for (i = 0; i < PB_END_REASONS; i++) {
+		if (is_unused(m, i))
+			continue;
 		for (k = 0; k < KINDS && rc == PB_OK; k++)
 			rc = pb_append_fmt(buf,
 			    "poplarbeam_requests_total{kind=\"%s\","
 			    "outcome=\"%s\"} %lld\n",
-			    kinds[k], m->outcomes[i].outcome,
-			    (long long)m->outcomes[i].count[k]);
+			    kinds[k], pb_end_reason_text((enum pb_end_reason)i),
+			    (long long)m->endings[i][k]);
 	}
 	for (k = 0; k < KINDS && rc == PB_OK; k++)
 		rc = format_latency(m, k, buf);
--- a/source/gateway/gateway-wait.c
+++ b/source/gateway/gateway-wait.c
@@ -141,8 +141,7 @@
 	    (long long)((reopens_us - now) / PB_MSEC), x->rank, waiting);
 	if (!joined) {
 		x->retry_after_us = reopens_us - now;
-		pb_fail_exchange(
-		    x, x->may_have_run ? 502 : 503, "all instances paused");
+		pb_end_exchange(x, PB_END_ALL_PAUSED);
 		return;
 	}
 	x->wait_end_us = last;
@@ -175,7 +174,7 @@
 	    pb_find_fill_limit(gw->ctx, a, x->rank), x->budget->service,
 	    waiting);
 	if (!joined) {
-		pb_fail_exchange(x, x->may_have_run ? 502 : 503, "no room");
+		pb_end_exchange(x, PB_END_NO_ROOM);
 		return;
 	}
 	x->wait_end_us = pb_now(gw->ctx) + wait;
--- /dev/null
+++ b/tests/test-ending.c
@@ -0,0 +1,90 @@
+#include "poplarbeam/ending.h"
+
+#include "run-suite.h"
+#include <string.h>
+
+static bool
+is_forwarded(enum pb_end_reason reason)
+{
+	return reason == PB_END_COMPLETE || reason == PB_END_UPSTREAM_ANSWER;
+}
+
+static bool
+is_late(enum pb_end_reason reason)
+{
+	return reason == PB_END_TIMEOUT || reason == PB_END_STOPPING;
+}
+
+static enum pb_end_action
+expected_action(enum pb_end_reason reason, const struct pb_end_state *state)
+{
+	if (reason == PB_END_CALLER_LEFT || !state->has_caller)
+		return PB_END_NOTHING;
+	if (is_forwarded(reason))
+		return PB_END_FORWARD;
+	return state->answer_begun ? PB_END_CLOSE : PB_END_SEND_STATUS;
+}
+
+static int
+expected_status(enum pb_end_reason reason, const struct pb_end_state *state)
+{
+	if (is_forwarded(reason) || reason == PB_END_CALLER_LEFT)
+		return 0;
+	if (!state->may_have_run)
+		return 503;
+	return is_late(reason) ? 504 : 502;
+}
+
+static void
+check_ending(enum pb_end_reason reason, const struct pb_end_state *state)
+{
+	struct pb_ending e = pb_decide_ending(reason, state);
+
+	CU_ASSERT_EQUAL(e.action, expected_action(reason, state));
+	CU_ASSERT_EQUAL(e.status, expected_status(reason, state));
+}
+
+/*
+ * Guards against a request that ends without an answer, is told that it has not
+ * run although it may have, or gets a status after part of a response: every
+ * reason in every state.
+ */
+static void
+test_every_ending(void)
+{
+	int reason, bits;
+
+	for (reason = 0; reason < PB_END_REASONS; reason++) {
+		for (bits = 0; bits < 8; bits++) {
+			struct pb_end_state state = {
+			    bits & 1, bits & 2, bits & 4};
+
+			check_ending((enum pb_end_reason)reason, &state);
+		}
+	}
+}
+
+/* Guards against reasons that the log and the metrics cannot tell apart. */
+static void
+test_texts(void)
+{
+	int i, k;
+
+	for (i = 0; i < PB_END_REASONS; i++) {
+		const char *text = pb_end_reason_text((enum pb_end_reason)i);
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+		for (k = 0; k < i; k++)
+			CU_ASSERT_STRING_NOT_EQUAL(
+			    text, pb_end_reason_text((enum pb_end_reason)k));
+	}
+}
+
+int
+main(void)
+{
+	static CU_TestInfo tests[] = {{"every ending", test_every_ending},
+	    {"texts", test_texts}, CU_TEST_INFO_NULL};
+
+	return run_suite("ending", tests);
+}
