Answer every request in a planned stop

Cause: requests of the first 2.8 s were admitted whatever they would wait for; waits knew only the deadline; the end of the stop broke the event loop and dropped the exchanges.

Change: pb_last_start() says until when an attempt may start, from the stop's end and the request's own time limit, no longer only the route's.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -126,6 +126,11 @@
 		pb_end_exchange(x, PB_END_NO_ATTEMPT_LEFT);
 		return;
 	}
+	if (!x->may_have_run &&
+	    pb_now(gw->ctx) > pb_last_start(gw, x->deadline_us)) {
+		pb_end_exchange(x, PB_END_STOPPING);
+		return;
+	}
 	if (pb_find_refusal(x, &refusal)) {
 		pb_end_exchange(x, refusal);
 		return;
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -108,6 +108,11 @@
  * or when the request has ended without one.
  */
 void pb_note_latency(struct pb_exchange *x);
+/*
+ * During a stop: refuses the requests that wait for a pause whose end leaves no
+ * time for them, and limits the other waits to the time that is left.
+ */
+void pb_limit_waits(struct pb_gateway *gw);
 /* Schedules the sending of waiting requests after a slot may be free. */
 void pb_schedule_dispatch(struct pb_gateway *gw);
 struct event *pb_new_dispatch_timer(struct pb_gateway *gw);
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -281,10 +281,16 @@
 /* gateway-stop.c */
 void pb_begin_stop(struct pb_gateway *gw);
 /*
- * Returns false if the end of a stop in progress could abort a request with
- * this timeout. Requests that arrive early in a stop are always accepted.
+ * Returns the last time at which an attempt of a request with this deadline may
+ * start, so that the end of a stop in progress does not cut it; INT64_MAX: at
+ * any time. Early in a stop, attempts may always start.
  */
-bool pb_admits_request(const struct pb_gateway *gw, int64_t timeout_us);
+int64_t pb_last_start(const struct pb_gateway *gw, int64_t deadline_us);
+/*
+ * Returns false if a stop in progress leaves no time for a request that may
+ * take limit_us.
+ */
+bool pb_admits_request(const struct pb_gateway *gw, int64_t limit_us);
 /* Continues a stop in progress. Called by the sweep timer. */
 void pb_continue_stop(struct pb_gateway *gw);
 
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -192,6 +192,16 @@
 	return b;
 }
 
+/* Returns the shorter of the limits of the caller and of the route. */
+static int64_t
+find_time_limit(const struct request *req, const struct pb_route *route)
+{
+	if (route->timeout_us == 0 ||
+	    (req->time_limit_us > 0 && req->time_limit_us < route->timeout_us))
+		return req->time_limit_us;
+	return route->timeout_us;
+}
+
 static int
 fill_exchange(struct pb_exchange *x, const struct request *req,
     const struct pb_route *route, const struct pb_account *account)
@@ -199,7 +209,6 @@
 	struct pb_gateway *gw = x->gw;
 	const struct pb_backend *backend =
 	    pb_draw_backend(route, pb_next_uniform(&gw->rnd));
-	int64_t limit = route->timeout_us;
 
 	if (backend == NULL)
 		return PB_ENOENT;
@@ -210,11 +219,8 @@
 	x->request_id = pb_arena_str(x->arena, req->id.data, req->id.len);
 	snprintf(x->log_id, sizeof(x->log_id), "%.*s", (int)req->id.len,
 	    req->id.data);
-	if (limit == 0 ||
-	    (req->time_limit_us > 0 && req->time_limit_us < limit))
-		limit = req->time_limit_us;
 	x->received_us = pb_now(gw->ctx);
-	x->deadline_us = x->received_us + limit;
+	x->deadline_us = x->received_us + find_time_limit(req, route);
 	x->has_last_event = req->has_last_event;
 	x->last_event = req->last_event;
 	x->has_body = req->has_body || x->conn->body.len > 0;
@@ -305,7 +311,7 @@
 			return;
 		}
 	}
-	if (!pb_admits_request(gw, route->timeout_us)) {
+	if (!pb_admits_request(gw, find_time_limit(&req, route))) {
 		reject(conn, &req, 503, "stopping");
 		return;
 	}
--- a/source/gateway/gateway-wait.c
+++ b/source/gateway/gateway-wait.c
@@ -99,19 +99,26 @@
 		pb_note_late(ctx, x->budget->admission, x->rank, late);
 }
 
+static int64_t
+min_us(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
 static int64_t
 find_wait_limit(const struct pb_exchange *x)
 {
 	int64_t now = pb_now(x->gw->ctx);
 	int64_t left = x->deadline_us - now;
 	int64_t wait = (int64_t)((double)left * WAIT_TIME_SHARE);
+	int64_t last = pb_last_start(x->gw, x->deadline_us);
 
 	if (x->wait_end_us != 0)
 		return x->wait_end_us > now ? x->wait_end_us - now : 0;
 	if (x->route->target_us > 0)
 		wait =
 		    (int64_t)((double)x->route->target_us * WAIT_TARGET_SHARE);
-	return wait < left ? wait : left;
+	return min_us(wait, min_us(left, last > now ? last - now : 0));
 }
 
 /*
@@ -127,7 +134,10 @@
 	int64_t last =
 	    now + (int64_t)((double)(x->deadline_us - now) * PAUSE_TIME_SHARE);
 	size_t waiting = pb_count_waiters_of(a, x->rank);
-	bool joined = reopens_us < last && waiting < PAUSE_WAITERS_MAX;
+	bool joined;
+
+	last = min_us(last, pb_last_start(gw, x->deadline_us));
+	joined = reopens_us < last && waiting < PAUSE_WAITERS_MAX;
 
 	x->waiter.owner = x;
 	if (joined)
@@ -183,6 +193,52 @@
 		pb_set_timer(gw->dispatch_timer, DISPATCH_INTERVAL_US);
 }
 
+/* Returns true if the request waits longer than a stop allows. */
+static bool
+waits_too_long(const struct pb_exchange *x)
+{
+	struct pb_gateway *gw = x->gw;
+	int64_t last = pb_last_start(gw, x->deadline_us);
+	int64_t left;
+
+	if (!x->waiter.queued || last == INT64_MAX)
+		return false;
+	left = pb_reopening_left(gw->ctx, gw->registry, x->service);
+	return pb_now(gw->ctx) + left > last;
+}
+
+static struct pb_exchange *
+find_hopeless_waiter(struct pb_gateway *gw)
+{
+	struct pb_exchange *x;
+
+	TAILQ_FOREACH(x, &gw->exchanges, entry)
+	{
+		if (waits_too_long(x))
+			return x;
+	}
+	return NULL;
+}
+
+void
+pb_limit_waits(struct pb_gateway *gw)
+{
+	struct pb_exchange *x;
+
+	/* The list may change while an exchange ends. */
+	while ((x = find_hopeless_waiter(gw)) != NULL)
+		pb_end_exchange(x, PB_END_STOPPING);
+	TAILQ_FOREACH(x, &gw->exchanges, entry)
+	{
+		int64_t last = pb_last_start(gw, x->deadline_us);
+
+		if (!x->waiter.queued || last >= x->wait_end_us)
+			continue;
+		x->wait_end_us = last;
+		pb_arm_exchange(x);
+	}
+}
+
 /*
  * Sends waiting requests of the rank while instances have free slots. Returns
  * true if requests still wait.
