Start nothing for a caller who has left

Cause: a call that must not run twice is left to complete when its caller leaves, since cancelling it leaves the outcome unknown. When the instance then refused it, the exchange made further attempts and joined queues without looking whether anybody waits.

Change: no attempt, retry or wait begins without a caller. A call whose connection is not yet established has not been sent; it is cancelled when its caller leaves.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -36,7 +36,8 @@
 bool
 pb_take_attempt(struct pb_exchange *x)
 {
-	if (x->attempts >= x->route->max_attempts ||
+	/* Nobody waits for the response of another attempt. */
+	if (x->conn == NULL || x->attempts >= x->route->max_attempts ||
 	    x->tried_count >= PB_TRIED_MAX ||
 	    x->deadline_us - pb_now(x->gw->ctx) < ATTEMPT_MIN_US)
 		return false;
@@ -114,6 +115,10 @@
 	enum pb_end_reason refusal;
 
 	pb_release_instance(x);
+	if (x->conn == NULL) {
+		pb_end_exchange(x, PB_END_CALLER_LEFT);
+		return;
+	}
 	pb_clear_buf(&x->response);
 	pb_update_response_memory(x);
 	x->unusable = false;
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -251,10 +251,10 @@
 {
 	x->conn = NULL;
 	/*
-	 * A request that must not run twice is allowed to complete, because
-	 * cancelling it would leave its outcome unknown.
+	 * A request that must not run twice is allowed to complete once it has
+	 * been sent, because cancelling it would leave its outcome unknown.
 	 */
-	if (x->route->kind == PB_ROUTE_NON_IDEMPOTENT && x->call.link != NULL)
+	if (x->route->kind == PB_ROUTE_NON_IDEMPOTENT && pb_is_sent(&x->call))
 		return;
 	pb_end_exchange(x, PB_END_CALLER_LEFT);
 }
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -11,6 +11,7 @@
  *   ok        sends a response after WORK ms
  *   error     sends a response with status 500 and a digest
  *   full      refuses the request with status 503, without executing it
+ *   queued    refuses the request like full, after WORK ms
  *   crash     executes the request and aborts the process after WORK ms
  *   cut       sends a part of the response and closes the connection
  *   mute      executes the request and closes without a response
@@ -478,6 +479,9 @@
 		abort();
 	} else if (is_action(c, "dribble")) {
 		continue_dribble(c);
+	} else if (is_action(c, "queued")) {
+		refuse(c, c->request_id);
+		end_request(c);
 	} else if (is_action(c, "large")) {
 		send_large(c);
 	} else if (strncmp(c->action, "endless-", 8) == 0) {
@@ -651,7 +655,8 @@
 		refuse(c, "another-request");
 	if (is_action(c, "refusal-unnamed"))
 		refuse(c, NULL);
-	record_run(c->backend, c->request_id);
+	if (!is_action(c, "queued"))
+		record_run(c->backend, c->request_id);
 	if (has_crashing_part(h)) {
 		send_response_head(c, 200, c->request_id, true);
 		evbuffer_write(
