Admit long bodies before they are read instead of dropping calls

Cause: above a quarter of memory_mb the connection that held most was closed, whatever it did. Each body counted twice and by a buffer that doubles, 16 MB for 4 MB, so that four of them reached the limit of 260 MB.

Change: the room for a body is known from the head, or reserved in steps of 4 MB without a length, and is taken before the body is read; without room the request gets a true 503. Bodies are kept once, exactly sized, and sent from there. Part of the limit is kept for short bodies. Responses may still exceed it: then connections that do not read their response go first, then bodies that are being received, then requests in progress in the order of pb_ends_before(), with an answer; the instance is not charged. As the count is honest now, the limit is a third of memory_mb.

--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -95,6 +95,11 @@
 int pb_append_buf(struct pb_buf *buf, const void *data, size_t len);
 int pb_append_fmt(struct pb_buf *buf, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
+/*
+ * Allocates room for len bytes in all. Data appended later allocates no more
+ * than that until it is used up.
+ */
+int pb_reserve_buf(struct pb_buf *buf, size_t len);
 void pb_clear_buf(struct pb_buf *buf);
 
 /* Compresses in to the zlib format and appends the result. */
--- a/include/poplarbeam/ending.h
+++ b/include/poplarbeam/ending.h
@@ -2,6 +2,7 @@
 #define POPLARBEAM_ENDING_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 /*
  * How a request ends: what its caller is told for each reason, given what is
@@ -56,6 +57,21 @@
 	int status;
 };
 
+/* What a request in progress holds when too much is buffered. */
+struct pb_holder {
+	bool may_have_run; /* an upstream may have begun to run it */
+	int rank; /* priority of the request; 0: highest */
+	int64_t account_bytes; /* held by all requests of its client account */
+	int64_t bytes;
+};
+
+/*
+ * Returns true if a is ended rather than b to free memory: requests that have
+ * not run go first, then the least urgent ones, then those of the account that
+ * holds most, then the largest.
+ */
+bool pb_ends_before(const struct pb_holder *a, const struct pb_holder *b);
+
 struct pb_ending pb_decide_ending(
     enum pb_end_reason reason, const struct pb_end_state *state);
 /* Returns the text of the reason for the log and the metrics. */
--- a/include/poplarbeam/http.h
+++ b/include/poplarbeam/http.h
@@ -36,12 +36,16 @@
 	PB_HTTP_OK = 0,
 	PB_HTTP_MALFORMED,
 	PB_HTTP_HEAD_TOO_LARGE,
-	PB_HTTP_BODY_TOO_LARGE
+	PB_HTTP_BODY_TOO_LARGE,
+	PB_HTTP_NO_ROOM /* set by a callback: no memory to buffer the body */
 };
 
 struct pb_http_reader;
 
-/* Callbacks called by pb_feed_http; each may be NULL. */
+/*
+ * Callbacks called by pb_feed_http; each may be NULL. A callback may set the
+ * error of the reader, which ends the reading.
+ */
 struct pb_http_ops {
 	/* Called when the head is complete. */
 	void (*head)(struct pb_http_reader *reader);
@@ -91,6 +95,11 @@
  */
 size_t pb_feed_http(
     struct pb_http_reader *reader, const char *data, size_t len);
+/*
+ * Returns the length of the body that the head states, in bytes; 0 if it states
+ * none. Call from the head callback.
+ */
+uint64_t pb_http_body_length(const struct pb_http_reader *reader);
 /*
  * Call when the peer has closed the connection. Returns true if the message is
  * complete.
--- a/source/base/base-string.c
+++ b/source/base/base-string.c
@@ -45,28 +45,40 @@
 }
 
 static int
-reserve_buf(struct pb_buf *buf, size_t extra)
+set_capacity(struct pb_buf *buf, size_t cap)
+{
+	char *data = realloc(buf->data, cap);
+
+	if (data == NULL)
+		return PB_ENOMEM;
+	buf->data = data;
+	buf->cap = cap;
+	return PB_OK;
+}
+
+static int
+grow_buf(struct pb_buf *buf, size_t extra)
 {
 	size_t need = buf->len + extra + 1;
 	size_t cap = buf->cap > 0 ? buf->cap : 256;
-	char *data;
 
 	if (need <= buf->cap)
 		return PB_OK;
 	while (cap < need)
 		cap *= 2;
-	data = realloc(buf->data, cap);
-	if (data == NULL)
-		return PB_ENOMEM;
-	buf->data = data;
-	buf->cap = cap;
-	return PB_OK;
+	return set_capacity(buf, cap);
+}
+
+int
+pb_reserve_buf(struct pb_buf *buf, size_t len)
+{
+	return len < buf->cap ? PB_OK : set_capacity(buf, len + 1);
 }
 
 int
 pb_append_buf(struct pb_buf *buf, const void *data, size_t len)
 {
-	if (reserve_buf(buf, len) != PB_OK)
+	if (grow_buf(buf, len) != PB_OK)
 		return PB_ENOMEM;
 	if (len > 0)
 		memcpy(buf->data + buf->len, data, len);
@@ -84,7 +96,7 @@
 	va_start(ap, fmt);
 	len = vsnprintf(NULL, 0, fmt, ap);
 	va_end(ap);
-	if (len < 0 || reserve_buf(buf, (size_t)len) != PB_OK)
+	if (len < 0 || grow_buf(buf, (size_t)len) != PB_OK)
 		return PB_ENOMEM;
 	va_start(ap, fmt);
 	vsnprintf(buf->data + buf->len, (size_t)len + 1, fmt, ap);
--- a/source/ending/ending-decide.c
+++ b/source/ending/ending-decide.c
@@ -63,3 +63,15 @@
 
 	return texts[reason];
 }
+
+bool
+pb_ends_before(const struct pb_holder *a, const struct pb_holder *b)
+{
+	if (a->may_have_run != b->may_have_run)
+		return b->may_have_run;
+	if (a->rank != b->rank)
+		return a->rank > b->rank;
+	if (a->account_bytes != b->account_bytes)
+		return a->account_bytes > b->account_bytes;
+	return a->bytes > b->bytes;
+}
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -120,7 +120,7 @@
 		return;
 	}
 	pb_clear_buf(&x->response);
-	pb_update_response_memory(x);
+	pb_update_exchange_memory(x);
 	x->unusable = false;
 	x->silence_noted = false;
 	x->attempt_event_us = 0;
@@ -287,7 +287,7 @@
 		x->unusable = true;
 	if (x->streaming && !x->unusable && !pb_forward_events(x))
 		x->unusable = true;
-	pb_update_response_memory(x);
+	pb_update_exchange_memory(x);
 	if (pb_is_response_too_large(x))
 		pb_end_attempt(x, PB_END_TOO_LONG);
 	else
--- a/source/gateway/gateway-conn.c
+++ b/source/gateway/gateway-conn.c
@@ -17,6 +17,9 @@
  * is in progress. Anything beyond stays in the socket.
  */
 #define READ_AHEAD_MAX 65536 /* bytes */
+/* A body of unknown length gets room in steps of these sizes, in bytes. */
+#define SHORT_BODY_STEP 4096
+#define LONG_BODY_STEP (4 << 20)
 /* A connection with more unsent bytes of a chunked response is dropped. */
 #define OUTPUT_BACKLOG_MAX (1 << 20) /* bytes */
 /* Time for the caller to close the connection after the last response. */
@@ -29,25 +32,72 @@
 
 static void read_conn(struct pb_conn *conn);
 
+/*
+ * Allocates the buffer for the rest of the body. Returns false if there is no
+ * room for it.
+ */
+static bool
+reserve_body(struct pb_conn *conn, size_t len)
+{
+	size_t need = conn->body.len + len;
+
+	if (len == 0 || need < conn->body.cap)
+		return true;
+	return pb_admits_body(conn->gw, need - conn->body.cap) &&
+	    pb_reserve_buf(&conn->body, need) == PB_OK;
+}
+
 static void
 on_request_head(struct pb_http_reader *reader)
 {
 	struct pb_conn *conn = reader->owner;
 	struct pb_str expect = pb_find_http_field(&reader->head, "Expect");
+	uint64_t len = pb_http_body_length(reader);
 	static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
+	if (len > reader->body_max) {
+		reader->error = PB_HTTP_BODY_TOO_LARGE;
+		return;
+	}
+	if (!reserve_body(conn, (size_t)len)) {
+		reader->error = PB_HTTP_NO_ROOM;
+		return;
+	}
+	pb_update_conn_memory(conn);
 	if (pb_same_http_name(expect, "100-continue"))
 		pb_write_now(
 		    conn->bev, (struct pb_str){interim, sizeof(interim) - 1});
 }
 
+/*
+ * Returns how many bytes to reserve for a body of unknown length that needs len
+ * now. Room for a long one is reserved in large steps, so that many of them do
+ * not fill the memory before any is complete.
+ */
+static size_t
+find_body_step(const struct pb_conn *conn, size_t len)
+{
+	size_t max = conn->reader.body_max;
+	size_t step = conn->body.len + len <= SHORT_BODY_STEP ? SHORT_BODY_STEP
+							      : LONG_BODY_STEP;
+
+	if (step < len)
+		step = len;
+	return conn->body.len + step > max ? max - conn->body.len : step;
+}
+
 static void
 on_request_body(struct pb_http_reader *reader, struct pb_str part)
 {
 	struct pb_conn *conn = reader->owner;
+	bool fits = conn->body.len + part.len < conn->body.cap;
 
-	if (pb_append_buf(&conn->body, part.data, part.len) != PB_OK)
-		reader->error = PB_HTTP_BODY_TOO_LARGE;
+	if (!fits && !reserve_body(conn, find_body_step(conn, part.len)))
+		reader->error = PB_HTTP_NO_ROOM;
+	else if (pb_append_buf(&conn->body, part.data, part.len) != PB_OK)
+		reader->error = PB_HTTP_NO_ROOM;
+	if (!fits)
+		pb_update_conn_memory(conn);
 }
 
 static const struct pb_http_ops reader_ops = {on_request_head, on_request_body};
@@ -183,6 +233,23 @@
 	pb_drop_conn(conn);
 }
 
+/* Copies the id of the request in conn->reader, or "" if it has none yet. */
+static void
+copy_request_id(const struct pb_conn *conn, char *id, size_t cap)
+{
+	const struct pb_http_head *h = &conn->reader.head;
+	size_t i;
+
+	id[0] = '\0';
+	for (i = 0; i < h->field_count; i++) {
+		struct pb_str value = pb_http_value(h, i);
+
+		if (conn->gw->adapter->classify_field(pb_http_name(h, i)) ==
+		    PB_FIELD_REQUEST_ID)
+			snprintf(id, cap, "%.*s", (int)value.len, value.data);
+	}
+}
+
 /* Responds to a request that cannot be read; none of it is forwarded. */
 static void
 reject_conn(struct pb_conn *conn, int status)
@@ -196,6 +263,22 @@
 	pb_send_response(conn, status, PB_STR_NONE, PB_STR_NONE);
 }
 
+void
+pb_refuse_body(struct pb_conn *conn)
+{
+	struct pb_gateway *gw = conn->gw;
+	char id[64];
+
+	copy_request_id(conn, id, sizeof(id));
+	pb_log(gw->ctx, PB_WARN, "read request", NULL, id,
+	    "refused with 503: no room for its body; %lld bytes are buffered",
+	    (long long)gw->buffered);
+	pb_clear_buf(&conn->body);
+	conn->close_after = true;
+	conn->handling = true;
+	pb_refuse_conn(conn, 503, PB_SEC, 0);
+}
+
 static int
 get_error_status(enum pb_http_error error)
 {
@@ -243,6 +326,10 @@
 	n = pb_feed_http(&conn->reader,
 	    (const char *)evbuffer_pullup(in, (ev_ssize_t)len), len);
 	evbuffer_drain(in, n);
+	if (conn->reader.error == PB_HTTP_NO_ROOM) {
+		pb_refuse_body(conn);
+		return true;
+	}
 	if (conn->reader.error != PB_HTTP_OK) {
 		reject_conn(conn, get_error_status(conn->reader.error));
 		return true;
--- a/source/gateway/gateway-end.c
+++ b/source/gateway/gateway-end.c
@@ -59,7 +59,7 @@
 
 	x->response_fields = (struct pb_buf){0};
 	x->response = (struct pb_buf){0};
-	pb_update_response_memory(x);
+	pb_update_exchange_memory(x);
 	return out;
 }
 
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -80,7 +80,7 @@
 	pb_clear_buf(&x->body);
 	pb_clear_buf(&x->response_fields);
 	pb_clear_buf(&x->response);
-	pb_update_response_memory(x);
+	pb_update_exchange_memory(x);
 	free(x);
 }
 
@@ -236,6 +236,7 @@
 	x->body = conn->body;
 	conn->body = (struct pb_buf){0};
 	pb_update_conn_memory(conn);
+	pb_update_exchange_memory(x);
 	x->timer = evtimer_new(x->gw->base, on_timer, x);
 	if (x->timer == NULL) {
 		pb_end_exchange(x, PB_END_NO_MEMORY);
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -64,8 +64,8 @@
 	struct pb_response_info info; /* of the attempt in progress */
 	struct pb_buf response_fields;
 	struct pb_buf response;
-	/* Bytes of response that are counted in gw->buffered. */
-	size_t response_counted_bytes;
+	/* Bytes of body and response that are counted in gw->buffered. */
+	size_t counted_bytes;
 	bool streaming; /* events are forwarded as they arrive */
 	bool until_close; /* ends with the connection, without a length */
 	bool started; /* the response head was sent to the caller */
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -163,7 +163,10 @@
     struct pb_gateway *gw, struct pb_instance *instance);
 void pb_drop_link(struct pb_link *link);
 void pb_drop_idle_links(struct pb_instance *instance);
-/* Sends a complete request; a link carries one call at a time. */
+/*
+ * Sends a complete request; a link carries one call at a time. The body must
+ * stay until the call has ended.
+ */
 int pb_send_call(struct pb_link *link, struct pb_link_call *call,
     struct pb_str head, struct pb_str body);
 /* Returns true if the upstream may have received part of the request. */
@@ -228,6 +231,11 @@
  * response is not complete.
  */
 void pb_abort_response(struct pb_conn *conn);
+/*
+ * Refuses a request that is being received, because there is no memory for its
+ * body. None of it is forwarded.
+ */
+void pb_refuse_body(struct pb_conn *conn);
 void pb_drop_conn(struct pb_conn *conn);
 /*
  * Drops connections that are idle or lingering for too long or have too much
@@ -258,10 +266,17 @@
  * of an exchange's response may have changed.
  */
 void pb_update_conn_memory(struct pb_conn *conn);
-void pb_update_response_memory(struct pb_exchange *x);
+void pb_update_exchange_memory(struct pb_exchange *x);
+/*
+ * Returns true if there is room for a request body that needs len further
+ * bytes. Part of the limit is kept for short bodies.
+ */
+bool pb_admits_body(const struct pb_gateway *gw, size_t len);
 /*
- * While the buffered bytes exceed the limit, ends the exchange or connection
- * that holds most of them. Any exchange may have ended after the call.
+ * While the buffered bytes exceed the limit, ends what holds them: first
+ * connections that read their response slowly, then requests that are still
+ * being received, then requests in progress. Any exchange may have ended after
+ * the call.
  */
 void pb_enforce_memory_limit(struct pb_gateway *gw);
 /*
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -8,6 +8,8 @@
 
 #define HEAD_MAX 32768 /* bytes */
 #define BODY_MAX (16 << 20) /* bytes of one response */
+#define COPY_MAX 16384 /* bytes of a request body that are copied to send it \
+			*/
 #define IDLE_MAX 16 /* idle connections per instance */
 /* Keep-alive time if the response has no Keep-Alive timeout. */
 #define KEEP_ALIVE_DEFAULT_US (4 * PB_SEC)
@@ -310,6 +312,22 @@
 	return link != NULL ? link : pb_open_link(gw, instance);
 }
 
+/*
+ * Adds the body to the output. A long one is not copied: its owner keeps it
+ * until the call has ended, and a link with unsent output is dropped then.
+ */
+static int
+add_body(struct pb_link *link, struct pb_str body)
+{
+	struct evbuffer *out = bufferevent_get_output(link->bev);
+
+	if (body.len == 0)
+		return 0;
+	if (body.len < COPY_MAX)
+		return bufferevent_write(link->bev, body.data, body.len);
+	return evbuffer_add_reference(out, body.data, body.len, NULL, NULL);
+}
+
 int
 pb_send_call(struct pb_link *link, struct pb_link_call *call,
     struct pb_str head, struct pb_str body)
@@ -317,8 +335,7 @@
 	link->call = call;
 	call->link = link;
 	if (bufferevent_write(link->bev, head.data, head.len) != 0 ||
-	    (body.len > 0 &&
-		bufferevent_write(link->bev, body.data, body.len) != 0))
+	    add_body(link, body) != 0)
 		return PB_ENOMEM;
 	return PB_OK;
 }
--- a/source/gateway/gateway-memory.c
+++ b/source/gateway/gateway-memory.c
@@ -2,12 +2,32 @@
 
 /*
  * Limits the memory used by requests and responses in progress. Callers and
- * instances determine how many bytes are buffered, so the bytes are counted,
- * and the connection or exchange that holds most is ended above the limit.
+ * instances determine how many bytes are buffered, so the bytes are counted. A
+ * request body is admitted before it is read; the limit can then be exceeded
+ * only by responses.
  */
 
 /* Buffers may use memory_mb divided by this. */
-#define BUFFER_SHARE 4
+#define BUFFER_SHARE 3
+/* Long bodies may use this fraction of it; the rest is kept for short ones. */
+#define LONG_BODY_SHARE 0.75
+/* A longer body, in bytes, is long. */
+#define SHORT_BODY_MAX 65536
+
+static int64_t
+find_budget(const struct pb_gateway *gw)
+{
+	return (int64_t)gw->settings.memory_mb * (1 << 20) / BUFFER_SHARE;
+}
+
+bool
+pb_admits_body(const struct pb_gateway *gw, size_t len)
+{
+	double share = len > SHORT_BODY_MAX ? LONG_BODY_SHARE : 1.0;
+
+	return (double)gw->buffered + (double)len <=
+	    (double)find_budget(gw) * share;
+}
 
 void
 pb_update_conn_memory(struct pb_conn *conn)
@@ -15,12 +35,6 @@
 	size_t output = evbuffer_get_length(bufferevent_get_output(conn->bev));
 	size_t held = output + conn->body.cap;
 
-	/*
-	 * The request body is counted twice: it is kept for another attempt
-	 * while the current attempt sends a copy of it.
-	 */
-	if (conn->exchange != NULL)
-		held += 2 * conn->exchange->body.cap;
 	/* A caller that reads its response is not idle, even if slow. */
 	if (output < conn->output_len)
 		conn->activity_us = pb_now(conn->gw->ctx);
@@ -30,79 +44,129 @@
 }
 
 void
-pb_update_response_memory(struct pb_exchange *x)
+pb_update_exchange_memory(struct pb_exchange *x)
+{
+	size_t held = x->body.cap + x->response.cap;
+
+	x->gw->buffered += (int64_t)held - (int64_t)x->counted_bytes;
+	x->counted_bytes = held;
+}
+
+static int64_t
+count_bytes(const struct pb_exchange *x)
 {
-	x->gw->buffered +=
-	    (int64_t)x->response.cap - (int64_t)x->response_counted_bytes;
-	x->response_counted_bytes = x->response.cap;
+	return (int64_t)x->counted_bytes +
+	    (x->conn != NULL ? (int64_t)x->conn->counted_bytes : 0);
 }
 
+/* Counts what all requests in progress of the exchange's account hold. */
+static int64_t
+count_account_bytes(const struct pb_exchange *x)
+{
+	const struct pb_exchange *other;
+	int64_t sum = 0;
+
+	TAILQ_FOREACH(other, &x->gw->exchanges, entry)
+	{
+		if (other->account != NULL && x->account != NULL &&
+		    pb_str_equal(other->account->name, x->account->name))
+			sum += count_bytes(other);
+	}
+	return sum;
+}
+
+/* Returns the request in progress that is ended first, or NULL. */
 static struct pb_exchange *
-find_largest_response(struct pb_gateway *gw)
+find_first_holder(struct pb_gateway *gw)
 {
-	struct pb_exchange *x, *largest = NULL;
+	struct pb_exchange *x, *first = NULL;
+	struct pb_holder best = {0};
+
+	TAILQ_FOREACH(x, &gw->exchanges, entry)
+	{
+		struct pb_holder h = {x->may_have_run || pb_is_sent(&x->call),
+		    x->rank, count_account_bytes(x), count_bytes(x)};
 
-	for (x = TAILQ_FIRST(&gw->exchanges); x != NULL;
-	     x = TAILQ_NEXT(x, entry)) {
-		if (largest == NULL ||
-		    x->response_counted_bytes > largest->response_counted_bytes)
-			largest = x;
+		if (h.bytes == 0 ||
+		    (first != NULL && !pb_ends_before(&h, &best)))
+			continue;
+		first = x;
+		best = h;
 	}
-	return largest;
+	return first;
 }
 
+/* Returns the connection with most unread bytes of a whole response. */
 static struct pb_conn *
-find_largest_conn(struct pb_gateway *gw)
+find_slow_reader(struct pb_gateway *gw)
 {
 	struct pb_conn *conn, *largest = NULL;
 
-	for (conn = TAILQ_FIRST(&gw->conns); conn != NULL;
-	     conn = TAILQ_NEXT(conn, entry)) {
-		if (largest == NULL ||
-		    conn->counted_bytes > largest->counted_bytes)
+	TAILQ_FOREACH(conn, &gw->conns, entry)
+	{
+		if (conn->exchange != NULL || conn->reading ||
+		    conn->output_len == 0)
+			continue;
+		if (largest == NULL || conn->output_len > largest->output_len)
 			largest = conn;
 	}
 	return largest;
 }
 
+/* Returns the connection with the longest body that is being received. */
+static struct pb_conn *
+find_longest_body(struct pb_gateway *gw)
+{
+	struct pb_conn *conn, *longest = NULL;
+
+	TAILQ_FOREACH(conn, &gw->conns, entry)
+	{
+		if (conn->handling || conn->close_after || conn->body.cap == 0)
+			continue;
+		if (longest == NULL || conn->body.cap > longest->body.cap)
+			longest = conn;
+	}
+	return longest;
+}
+
 static void
-drop_conn_over_limit(struct pb_conn *conn)
+drop_slow_reader(struct pb_conn *conn)
 {
 	pb_log(conn->gw->ctx, PB_WARN, "end connection", NULL, NULL,
-	    "closed: holds %zu of %lld buffered bytes; the total exceeds "
-	    "the memory limit",
-	    conn->counted_bytes, (long long)conn->gw->buffered);
+	    "closed: its caller has not read %zu bytes of a response; the "
+	    "%lld buffered bytes exceed the memory limit",
+	    conn->output_len, (long long)conn->gw->buffered);
 	pb_drop_conn(conn);
 }
 
+/* Frees some memory; returns false if nothing is left to end. */
+static bool
+free_some(struct pb_gateway *gw)
+{
+	struct pb_conn *conn = find_slow_reader(gw);
+	struct pb_exchange *x;
+
+	if (conn != NULL) {
+		drop_slow_reader(conn);
+		return true;
+	}
+	conn = find_longest_body(gw);
+	if (conn != NULL) {
+		pb_refuse_body(conn);
+		return true;
+	}
+	x = find_first_holder(gw);
+	if (x == NULL)
+		return false;
+	pb_end_exchange(x, PB_END_BUFFER_LIMIT);
+	return true;
+}
+
 void
 pb_enforce_memory_limit(struct pb_gateway *gw)
 {
-	int64_t budget = (int64_t)gw->settings.memory_mb * (1 << 20);
-
-	budget /= BUFFER_SHARE;
-	while (gw->buffered > budget) {
-		struct pb_exchange *x = find_largest_response(gw);
-		struct pb_conn *conn = find_largest_conn(gw);
-		size_t response = x != NULL ? x->response_counted_bytes : 0;
-		size_t held = conn != NULL ? conn->counted_bytes : 0;
-
-		if (response == 0 && held == 0)
-			return;
-		if (response >= held) {
-			pb_end_attempt(x, PB_END_BUFFER_LIMIT);
-			continue;
-		}
-		/*
-		 * A connection that is being read is only marked here and
-		 * dropped when the read returns, so the loop must stop.
-		 */
-		if (conn->reading) {
-			drop_conn_over_limit(conn);
-			return;
-		}
-		drop_conn_over_limit(conn);
-	}
+	while (gw->buffered > find_budget(gw) && free_some(gw))
+		;
 }
 
 bool
--- a/source/http/http-reader.c
+++ b/source/http/http-reader.c
@@ -1,5 +1,6 @@
 #include "poplarbeam/http.h"
 
+#include <limits.h>
 #include <string.h>
 
 /*
@@ -164,6 +165,8 @@
 	    (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 	if (r->ops != NULL && r->ops->head != NULL)
 		r->ops->head(r);
+	if (r->error != PB_HTTP_OK)
+		return -1;
 	return r->no_body ? 1 : 0;
 }
 
@@ -236,7 +239,7 @@
 	}
 	if (r->ops != NULL && r->ops->body != NULL)
 		r->ops->body(r, (struct pb_str){at, len});
-	return 0;
+	return r->error == PB_HTTP_OK ? 0 : -1;
 }
 
 static int
@@ -395,6 +398,14 @@
 	return n;
 }
 
+uint64_t
+pb_http_body_length(const struct pb_http_reader *reader)
+{
+	uint64_t len = reader->parser.content_length;
+
+	return len == ULLONG_MAX ? 0 : len;
+}
+
 bool
 pb_finish_http(struct pb_http_reader *reader)
 {
--- a/tests/test-ending.c
+++ b/tests/test-ending.c
@@ -80,11 +80,30 @@
 	}
 }
 
+/*
+ * Guards against a request that an instance runs being ended while one that has
+ * not run, is less urgent or belongs to a larger account holds memory.
+ */
+static void
+test_order(void)
+{
+	static const struct pb_holder order[] = {{false, 2, 10, 1},
+	    {false, 1, 90, 9}, {true, 2, 50, 1}, {true, 2, 40, 30},
+	    {true, 2, 40, 20}, {true, 0, 90, 90}};
+	size_t i, k, n = sizeof(order) / sizeof(order[0]);
+
+	for (i = 0; i < n; i++) {
+		for (k = 0; k < n; k++)
+			CU_ASSERT_EQUAL(
+			    pb_ends_before(&order[i], &order[k]), i < k);
+	}
+}
+
 int
 main(void)
 {
 	static CU_TestInfo tests[] = {{"every ending", test_every_ending},
-	    {"texts", test_texts}, CU_TEST_INFO_NULL};
+	    {"texts", test_texts}, {"order", test_order}, CU_TEST_INFO_NULL};
 
 	return run_suite("ending", tests);
 }
