Keep a silent attempt until another instance has taken it over

Cause: a stream without an event for 1.5 s, or a call without a response for three times its objective, was cancelled before it was known that another instance takes it. The others refused, and the first was excluded.

Change: the silent attempt stands by while another instance is asked. The first one that responds keeps the request and the other one is cancelled at once, so no two go on with it (at most one of them for longer than a round trip). A refusal, a broken connection or no connection returns to the silent attempt. A stream is ended before its deadline only if bytes go on arriving without a whole event.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -106,6 +106,43 @@
 	    (long long)x->routing->version);
 }
 
+void
+pb_reset_attempt(struct pb_exchange *x)
+{
+	pb_clear_buf(&x->response);
+	pb_update_exchange_memory(x);
+	x->unusable = false;
+	x->silence_noted = false;
+	x->attempt_event_us = 0;
+	x->status = 0;
+	x->info = (struct pb_response_info){0};
+}
+
+bool
+pb_start_attempt(struct pb_exchange *x, struct pb_instance *inst,
+    const struct pb_placement_facts *facts)
+{
+	struct pb_gateway *gw = x->gw;
+
+	x->instance = pb_keep_instance(inst);
+	x->tried[x->tried_count++] = pb_keep_instance(inst);
+	pb_note_dispatch(inst, x->route->kind == PB_ROUTE_STREAMING);
+	pb_note_start(gw->ctx, x->budget->admission, x->rank);
+	x->boosted = pb_take_boost(gw->ctx, x->budget->admission, x->rank);
+	log_dispatch(x, facts);
+	x->attempt_us = pb_now(gw->ctx);
+	x->progress_us = x->attempt_us;
+	x->part_us = x->attempt_us;
+	x->call.ops = &call_ops;
+	if (send_request(x, facts->holder) != PB_OK) {
+		pb_cancel_call(&x->call);
+		return false;
+	}
+	x->attempts++;
+	pb_arm_exchange(x);
+	return true;
+}
+
 void
 pb_next_attempt(struct pb_exchange *x)
 {
@@ -119,13 +156,7 @@
 		pb_end_exchange(x, PB_END_CALLER_LEFT);
 		return;
 	}
-	pb_clear_buf(&x->response);
-	pb_update_exchange_memory(x);
-	x->unusable = false;
-	x->silence_noted = false;
-	x->attempt_event_us = 0;
-	x->status = 0;
-	x->info = (struct pb_response_info){0};
+	pb_reset_attempt(x);
 	if (x->tried_count == PB_TRIED_MAX ||
 	    x->deadline_us - pb_now(gw->ctx) < ATTEMPT_MIN_US) {
 		pb_end_exchange(x, PB_END_NO_ATTEMPT_LEFT);
@@ -149,22 +180,8 @@
 		pb_end_exchange(x, PB_END_NO_INSTANCE);
 		return;
 	}
-	x->instance = pb_keep_instance(inst);
-	x->tried[x->tried_count++] = pb_keep_instance(inst);
-	pb_note_dispatch(inst, x->route->kind == PB_ROUTE_STREAMING);
-	pb_note_start(gw->ctx, x->budget->admission, x->rank);
-	x->boosted = pb_take_boost(gw->ctx, x->budget->admission, x->rank);
-	log_dispatch(x, &facts);
-	x->attempt_us = pb_now(gw->ctx);
-	x->progress_us = x->attempt_us;
-	x->call.ops = &call_ops;
-	if (send_request(x, facts.holder) != PB_OK) {
-		pb_cancel_call(&x->call);
+	if (!pb_start_attempt(x, inst, &facts))
 		pb_next_attempt(x);
-		return;
-	}
-	x->attempts++;
-	pb_arm_exchange(x);
 }
 
 static int
@@ -235,6 +252,17 @@
 	    x->status == 503;
 }
 
+/*
+ * Returns true if the attempt failed at the upstream or the upstream did not
+ * run the request.
+ */
+static bool
+is_failure(const struct pb_exchange *x)
+{
+	return x->unusable || x->info.not_run || is_unproven_refusal(x) ||
+	    x->status >= 500 || (x->started && !x->streaming);
+}
+
 static void
 on_head(struct pb_link_call *call)
 {
@@ -272,6 +300,8 @@
 	/* A resumed stream keeps the response head of its first upstream. */
 	if (!x->started && copy_response_fields(x, h) != PB_OK)
 		x->unusable = true;
+	if (!is_failure(x))
+		pb_end_takeover(x);
 }
 
 static void
@@ -281,8 +311,9 @@
 
 	if (x->unusable)
 		return;
+	x->part_us = pb_now(x->gw->ctx);
 	if (!x->streaming)
-		x->progress_us = pb_now(x->gw->ctx);
+		x->progress_us = x->part_us;
 	if (pb_append_buf(&x->response, part.data, part.len) != PB_OK)
 		x->unusable = true;
 	if (x->streaming && !x->unusable && !pb_forward_events(x))
@@ -294,17 +325,6 @@
 		pb_enforce_memory_limit(x->gw);
 }
 
-/*
- * Returns true if the attempt failed at the upstream or the upstream did not
- * run the request.
- */
-static bool
-is_failure(const struct pb_exchange *x)
-{
-	return x->unusable || x->info.not_run || is_unproven_refusal(x) ||
-	    x->status >= 500 || (x->started && !x->streaming);
-}
-
 static void
 deliver_response(struct pb_exchange *x)
 {
@@ -369,7 +389,9 @@
 	x->may_have_run = true;
 	pb_note_outcome(x->gw->ctx, x->gw->registry, x->instance, true);
 	if (may_be_crash)
-		pb_note_broken_attempt(x);
+		pb_note_broken_attempt(x, x->instance);
+	if (pb_return_to_standby(x))
+		return;
 	if (x->repeatable && pb_take_attempt(x))
 		pb_next_attempt(x);
 	else
@@ -401,6 +423,8 @@
 		x->attempts--;
 	else
 		x->may_have_run = true;
+	if (pb_return_to_standby(x))
+		return;
 	if ((x->info.not_run || x->repeatable) && pb_take_attempt(x)) {
 		pb_next_attempt(x);
 		return;
@@ -424,7 +448,8 @@
 	if (failure == PB_LINK_NOT_REACHED) {
 		x->attempts--;
 		pb_note_unreachable(x->gw->ctx, x->instance);
-		pb_next_attempt(x);
+		if (!pb_return_to_standby(x))
+			pb_next_attempt(x);
 		return;
 	}
 	handle_broken_attempt(x, failure == PB_LINK_BROKEN);
--- a/source/gateway/gateway-contain.c
+++ b/source/gateway/gateway-contain.c
@@ -91,7 +91,7 @@
 
 /* Logs what the request may have in common with others that crash instances. */
 static void
-log_suspect(struct pb_exchange *x)
+log_suspect(struct pb_exchange *x, const struct pb_instance *instance)
 {
 	char parts[256] = "";
 	size_t i, len = 0;
@@ -100,11 +100,11 @@
 		len +=
 		    (size_t)snprintf(parts + len, sizeof(parts) - len, " %.*s",
 			(int)x->shared_parts[i].len, x->shared_parts[i].data);
-	pb_log(x->gw->ctx, PB_INFO, "crash suspect", x->instance->id, x->log_id,
+	pb_log(x->gw->ctx, PB_INFO, "crash suspect", instance->id, x->log_id,
 	    "request %016llx, started %lld, response %s, shared prompt "
 	    "parts:%s",
 	    (unsigned long long)x->fingerprints[0],
-	    (long long)x->instance->started_ms,
+	    (long long)instance->started_ms,
 	    x->started		 ? "passed on in part"
 		: x->status != 0 ? "begun"
 				 : "not begun",
@@ -112,18 +112,19 @@
 }
 
 static void
-log_containment(struct pb_exchange *x, size_t i)
+log_containment(
+    struct pb_exchange *x, const struct pb_instance *instance, size_t i)
 {
 	static const char text[] =
 	    "connections to several instances broke while %s%.*s was in "
 	    "progress; refusing it temporarily";
 
 	if (i == 0)
-		pb_log(x->gw->ctx, PB_WARN, "contain request", x->instance->id,
+		pb_log(x->gw->ctx, PB_WARN, "contain request", instance->id,
 		    x->log_id, text, "the request", 0, "");
 	else
-		pb_log(x->gw->ctx, PB_WARN, "contain prompt part",
-		    x->instance->id, x->log_id, text, "prompt part ",
+		pb_log(x->gw->ctx, PB_WARN, "contain prompt part", instance->id,
+		    x->log_id, text, "prompt part ",
 		    (int)x->shared_parts[i - 1].len,
 		    x->shared_parts[i - 1].data);
 }
@@ -133,18 +134,18 @@
  * a restart counts as another crash.
  */
 void
-pb_note_broken_attempt(struct pb_exchange *x)
+pb_note_broken_attempt(struct pb_exchange *x, struct pb_instance *instance)
 {
 	struct pb_gateway *gw = x->gw;
-	struct pb_crash crash = {0,
-	    pb_hash_pair(x->instance->hash, (uint64_t)x->instance->started_ms)};
+	struct pb_crash crash = {
+	    0, pb_hash_pair(instance->hash, (uint64_t)instance->started_ms)};
 	size_t i;
 
 	gw->broken_attempts++;
-	log_suspect(x);
+	log_suspect(x, instance);
 	for (i = 0; i < count_fingerprints(x); i++) {
 		crash.fingerprint = x->fingerprints[i];
 		if (pb_note_crash(gw->ctx, gw->suspects, &crash))
-			log_containment(x, i);
+			log_containment(x, instance, i);
 	}
 }
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -18,8 +18,8 @@
  */
 #define STREAM_SILENCE_US (1500 * PB_MSEC)
 /*
- * A stream without a complete event for the longest of these times is ended.
- * Its caller has disconnected by then: callers wait two thirds of that time.
+ * A stream that receives bytes but no complete event for the longest of these
+ * times is ended. A silent stream may still go on and is not ended.
  */
 #define STREAM_END_US (3 * PB_SEC)
 #define STREAM_END_TARGETS 6 /* multiples of the route's latency objective */
@@ -46,16 +46,22 @@
 	return x;
 }
 
+void
+pb_free_slot(struct pb_exchange *x, struct pb_instance *instance)
+{
+	pb_note_release(instance, x->route->kind == PB_ROUTE_STREAMING);
+	pb_drop_instance(instance);
+	pb_note_end(x->budget->admission, x->rank);
+	pb_schedule_dispatch(x->gw);
+}
+
 void
 pb_release_instance(struct pb_exchange *x)
 {
 	if (x->instance == NULL)
 		return;
-	pb_note_release(x->instance, x->route->kind == PB_ROUTE_STREAMING);
-	pb_drop_instance(x->instance);
+	pb_free_slot(x, x->instance);
 	x->instance = NULL;
-	pb_note_end(x->budget->admission, x->rank);
-	pb_schedule_dispatch(x->gw);
 }
 
 void
@@ -67,6 +73,7 @@
 		return;
 	pb_cancel_call(&x->call);
 	pb_release_instance(x);
+	pb_drop_standby(x);
 	if (x->budget != NULL)
 		pb_remove_waiter(x->budget->admission, &x->waiter);
 	for (i = 0; i < x->tried_count; i++)
@@ -116,7 +123,14 @@
 	    (limit > STALL_MIN_US ? limit : STALL_MIN_US);
 }
 
-/* Returns the time at which a stream without a complete event is ended. */
+/* Returns true if a stream goes on receiving bytes without a whole event. */
+static bool
+is_dribbling(const struct pb_exchange *x)
+{
+	return x->streaming && x->part_us - x->progress_us >= STREAM_SILENCE_US;
+}
+
+/* Returns the time at which a stream that dribbles is ended. */
 static int64_t
 find_stream_end(const struct pb_exchange *x)
 {
@@ -134,6 +148,8 @@
 next_check(const struct pb_exchange *x)
 {
 	int64_t at = x->deadline_us;
+	int64_t now = pb_now(x->gw->ctx);
+	int64_t end = find_stream_end(x);
 
 	if (x->waiter.queued && x->wait_end_us < at)
 		return x->wait_end_us;
@@ -141,9 +157,9 @@
 		return at;
 	if (find_stall(x) < at)
 		at = find_stall(x);
-	if (find_stream_end(x) < at)
-		at = find_stream_end(x);
-	return at;
+	if (end <= now)
+		end = now + STREAM_SILENCE_US;
+	return end < at ? end : at;
 }
 
 void
@@ -164,7 +180,7 @@
 	pb_end_exchange(x, sent ? PB_END_TIMEOUT : PB_END_NOT_SENT);
 }
 
-/* Replaces an attempt that is silent for too long, if another is allowed. */
+/* Asks another instance if an attempt is silent for too long. */
 static void
 abandon_stalled_attempt(struct pb_exchange *x)
 {
@@ -172,20 +188,17 @@
 
 	if (!x->call.link->connected) {
 		pb_note_unreachable(gw->ctx, x->instance);
+		if (pb_return_to_standby(x))
+			return;
 		pb_cancel_call(&x->call);
 		pb_next_attempt(x);
 		return;
 	}
-	if (!pb_take_attempt(x)) {
-		/* Checks again later, when the retry budget may allow it. */
-		x->stall_checked_us = pb_now(gw->ctx);
-		pb_arm_exchange(x);
+	if (pb_start_takeover(x))
 		return;
-	}
-	pb_note_outcome(gw->ctx, gw->registry, x->instance, true);
-	x->may_have_run = true;
-	pb_cancel_call(&x->call);
-	pb_next_attempt(x);
+	/* Checks again later, when the retry budget may allow it. */
+	x->stall_checked_us = pb_now(gw->ctx);
+	pb_arm_exchange(x);
 }
 
 /*
@@ -210,7 +223,7 @@
 {
 	struct pb_exchange *x = arg;
 	int64_t now = pb_now(x->gw->ctx);
-	int64_t at = next_check(x);
+	bool stalled = x->call.link != NULL && now >= find_stall(x);
 
 	(void)fd;
 	(void)what;
@@ -218,10 +231,11 @@
 		expire_exchange(x);
 	else if (x->waiter.queued && now >= x->wait_end_us)
 		pb_end_exchange(x, PB_END_NO_ROOM_IN_TIME);
-	else if (x->call.link == NULL || now < at)
-		pb_arm_exchange(x);
-	else if (now >= find_stream_end(x))
+	else if (x->call.link != NULL && now >= find_stream_end(x) &&
+	    is_dribbling(x))
 		pb_end_attempt(x, PB_END_DRIBBLING);
+	else if (!stalled)
+		pb_arm_exchange(x);
 	else if (x->call.link->connected && !retries_silent_attempt(x))
 		note_silence(x);
 	else
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -9,8 +9,29 @@
 
 #define PB_TRIED_MAX 8
 
+/*
+ * An attempt that is silent while another instance is asked to take the request
+ * over. Its fields replace those of the exchange if it responds first.
+ */
+struct pb_standby {
+	struct pb_link_call call;
+	struct pb_exchange *exchange;
+	struct pb_instance *instance; /* counted reference; NULL: no standby */
+	int64_t attempt_us;
+	int64_t progress_us;
+	int64_t part_us;
+	int64_t attempt_event_us;
+	struct pb_response_info info;
+	int status;
+	struct pb_buf response_fields;
+	struct pb_buf response;
+	bool streaming;
+	bool until_close;
+};
+
 struct pb_exchange {
 	struct pb_link_call call;
+	struct pb_standby standby;
 	struct pb_gateway *gw;
 	struct pb_conn *conn; /* NULL: the caller has disconnected */
 	struct pb_arena *arena;
@@ -46,6 +67,7 @@
 	 * or of any data of another response.
 	 */
 	int64_t progress_us;
+	int64_t part_us; /* last arrival of any part of a response body */
 	/* Last check at which a silent attempt was allowed to continue. */
 	int64_t stall_checked_us;
 	/* The instance of the attempt in progress, a counted reference. */
@@ -119,13 +141,39 @@
 
 /* gateway-attempt.c: chooses an upstream and sends the request. */
 void pb_next_attempt(struct pb_exchange *x);
+/* Clears what the exchange knows of its last attempt. */
+void pb_reset_attempt(struct pb_exchange *x);
+/*
+ * Sends the request to the instance; returns false if the connection cannot be
+ * opened.
+ */
+bool pb_start_attempt(struct pb_exchange *x, struct pb_instance *inst,
+    const struct pb_placement_facts *facts);
 /* Ends an attempt whose response cannot be used, and its exchange. */
 void pb_end_attempt(struct pb_exchange *x, enum pb_end_reason reason);
 /* Releases the instance of the current attempt. */
 void pb_release_instance(struct pb_exchange *x);
+/* Frees the slot of an attempt at the instance and drops the reference. */
+void pb_free_slot(struct pb_exchange *x, struct pb_instance *instance);
 /* Returns true if another attempt is allowed, and charges the retry budget. */
 bool pb_take_attempt(struct pb_exchange *x);
 
+/* gateway-takeover.c: asks another instance while an attempt is silent. */
+/*
+ * Starts an attempt at another instance; the silent one stands by. Returns
+ * false if there is no other instance or no further attempt is allowed.
+ */
+bool pb_start_takeover(struct pb_exchange *x);
+/*
+ * Cancels the attempt that was to take the request over and continues with the
+ * one that stands by. Returns false if there is none.
+ */
+bool pb_return_to_standby(struct pb_exchange *x);
+/* Called when the other instance has taken the request over. */
+void pb_end_takeover(struct pb_exchange *x);
+bool pb_has_standby(const struct pb_exchange *x);
+void pb_drop_standby(struct pb_exchange *x);
+
 /* gateway-end.c */
 /*
  * Ends the exchange: sends the answer that the reason and the state of the
@@ -156,7 +204,8 @@
  * Records that the connection broke while the instance worked on the request,
  * which may have crashed it.
  */
-void pb_note_broken_attempt(struct pb_exchange *x);
+void pb_note_broken_attempt(
+    struct pb_exchange *x, struct pb_instance *instance);
 
 /* gateway-events.c */
 /*
--- a/source/gateway/gateway-memory.c
+++ b/source/gateway/gateway-memory.c
@@ -46,7 +46,7 @@
 void
 pb_update_exchange_memory(struct pb_exchange *x)
 {
-	size_t held = x->body.cap + x->response.cap;
+	size_t held = x->body.cap + x->response.cap + x->standby.response.cap;
 
 	x->gw->buffered += (int64_t)held - (int64_t)x->counted_bytes;
 	x->counted_bytes = held;
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -29,6 +29,10 @@
  * a stream without a digest or the whole stream again open      like stream,
  * but without a length or chunks, and closes open-torn like torn, but without a
  * length or chunks open-none sends the head of such a stream and closes
+ *   preempt-full, preempt-room, preempt-mute, preempt-hang
+ *             like stream, but silent for 2.2 s before event 5; a request that
+ *             resumes the stream is refused, is served, gets no response and
+ *             the connection is closed, or gets no response
  *   refusal-again, refusal-unnamed
  *             first sends a refusal of another request, with its id or without
  *             an id
@@ -73,6 +77,7 @@
 
 #define RUNS_MAX 4096
 #define EVENTS_PER_STREAM 10
+#define PREEMPTION_MS 2200
 #define FILLER_BYTES 16384
 #define LARGE_BODY_BYTES (192 * FILLER_BYTES)
 #define BODY_PREFIX "answer of "
@@ -109,6 +114,7 @@
 	int next_event; /* id of the next event, 0: no stream, -1: close */
 	bool resuming; /* the request has a Last-Event-Id */
 	bool busy; /* a request is in progress */
+	bool preempted; /* has been silent once */
 	bool unframed; /* the stream has no length and no chunks */
 	bool endless; /* sends filler whenever the output buffer is empty */
 };
@@ -375,6 +381,13 @@
 	    !c->resuming;
 }
 
+/* Returns true if the stream is silent for a while before event 5. */
+static bool
+is_preempting(const struct conn *c)
+{
+	return strncmp(c->action, "preempt", 7) == 0 && !c->resuming;
+}
+
 /*
  * Sends the next event of a stream and schedules the one after it. Ends the
  * request after the last event.
@@ -391,6 +404,11 @@
 		c->next_event = -1;
 		return;
 	}
+	if (is_preempting(c) && !c->preempted && c->next_event == 5) {
+		c->preempted = true;
+		start_timer(c, PREEMPTION_MS);
+		return;
+	}
 	if (c->next_event < 0) {
 		close_conn(c);
 		return;
@@ -428,12 +446,17 @@
 serve_stream(struct conn *c, int last_event)
 {
 	c->next_event = last_event + 1;
+	c->preempted = false;
 	if (c->resuming && is_action(c, "torn-error")) {
 		send_response(c, 500, c->request_id, true);
 		end_request(c);
 	} else if (c->resuming && is_action(c, "torn-page")) {
 		send_response(c, 200, c->request_id, true);
 		end_request(c);
+	} else if (c->resuming && is_action(c, "preempt-mute")) {
+		close_after_flush(c);
+	} else if (c->resuming && is_action(c, "preempt-hang")) {
+		return;
 	} else {
 		if (is_action(c, "torn-again"))
 			c->next_event = 1;
@@ -446,6 +469,7 @@
 {
 	return is_action(c, "stream") || is_action(c, "dribble") ||
 	    strncmp(c->action, "torn", 4) == 0 ||
+	    strncmp(c->action, "preempt", 7) == 0 ||
 	    strncmp(c->action, "open", 4) == 0;
 }
 
@@ -646,7 +670,8 @@
 	copy_field(h, "Last-Event-Id", last_event_id, sizeof(last_event_id));
 	c->resuming = last_event_id[0] != '\0';
 	if (c->backend->pause[0] != '\0' || is_action(c, "full") ||
-	    (c->resuming && is_action(c, "torn-full"))) {
+	    (c->resuming &&
+		(is_action(c, "torn-full") || is_action(c, "preempt-full")))) {
 		refuse(c, c->request_id);
 		read_next_request(c);
 		return;
