Do not wait for the body of a response to HEAD

What callers saw: the answer to HEAD with a Content-Length came not at all; an idempotent call got 502 once two instances had been tried, others waited until their time limit.

Cause: the reader of responses was never told that the request was HEAD and waited for the announced body.

Change: a link knows that its call is HEAD; the response ends with its head. The length that GET would return is passed on.

Test: gateway-heads sends HEAD, then GET on the same connection; on HEAD gets 502, now 200 with the length. gateway, surface and test-http pass.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -184,6 +184,14 @@
 		pb_next_attempt(x);
 }
 
+/* The response to HEAD has the length of a body that is not sent. */
+static bool
+is_passed_on(const struct pb_exchange *x, struct pb_str name)
+{
+	return !pb_is_hop_by_hop_field(name) ||
+	    (x->is_head && pb_same_http_name(name, "Content-Length"));
+}
+
 static int
 copy_response_fields(struct pb_exchange *x, const struct pb_http_head *h)
 {
@@ -196,7 +204,7 @@
 		struct pb_str name = pb_http_name(h, i);
 		struct pb_str value = pb_http_value(h, i);
 
-		if (!pb_is_hop_by_hop_field(name) &&
+		if (is_passed_on(x, name) &&
 		    !pb_http_list_has(connection, name))
 			rc = pb_append_fmt(&x->response_fields,
 			    "%.*s: %.*s\r\n", (int)name.len, name.data,
--- a/source/gateway/gateway-conn.c
+++ b/source/gateway/gateway-conn.c
@@ -181,9 +181,13 @@
 	struct pb_buf buf = {0};
 
 	append_head(conn, &buf, status, fields);
-	pb_append_fmt(&buf, "Content-Length: %zu\r\n\r\n", body.len);
-	if (conn->reader.head.method != HTTP_HEAD)
+	if (conn->reader.head.method == HTTP_HEAD) {
+		/* fields may hold the length that GET would return. */
+		pb_append_fmt(&buf, "\r\n");
+	} else {
+		pb_append_fmt(&buf, "Content-Length: %zu\r\n\r\n", body.len);
 		pb_append_buf(&buf, body.data, body.len);
+	}
 	pb_write_now(conn->bev, (struct pb_str){buf.data, buf.len});
 	pb_clear_buf(&buf);
 	pb_update_conn_memory(conn);
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -50,6 +50,7 @@
 	struct pb_buf head;
 	struct pb_buf body;
 	bool has_body;
+	bool is_head; /* a HEAD request */
 	uint64_t affinity;
 	/* Ids of the prompt parts that other requests may share. */
 	struct pb_str shared_parts[PB_PROMPT_PARTS_MAX];
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -153,6 +153,7 @@
 	bool skipping; /* discards a response that belongs to no call */
 	bool not_reusable; /* closed after the current call */
 	bool reused; /* was idle before the current call */
+	bool no_body; /* a HEAD request: its response has no body */
 };
 
 /* Opens a connection to the instance; returns NULL on failure. */
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -8,8 +8,9 @@
 
 #define HEAD_MAX 32768 /* bytes */
 #define BODY_MAX (16 << 20) /* bytes of one response */
-#define COPY_MAX 16384 /* bytes of a request body that are copied to send it \
-			*/
+#define COPY_MAX                                                    \
+	16384 /* bytes of a request body that are copied to send it \
+	       */
 #define IDLE_MAX 16 /* idle connections per instance */
 /* Keep-alive time if the response has no Keep-Alive timeout. */
 #define KEEP_ALIVE_DEFAULT_US (4 * PB_SEC)
@@ -206,6 +207,7 @@
 	if (link->skipping || link->reader.head.status < 200) {
 		link->skipping = false;
 		pb_reset_http_reader(&link->reader);
+		link->reader.no_body = link->no_body;
 		return true;
 	}
 	complete_link(link);
@@ -332,8 +334,13 @@
 pb_send_call(struct pb_link *link, struct pb_link_call *call,
     struct pb_str head, struct pb_str body)
 {
+	static const char method[] = "HEAD ";
+	size_t n = sizeof(method) - 1;
+
 	link->call = call;
 	call->link = link;
+	link->no_body = head.len > n && memcmp(head.data, method, n) == 0;
+	link->reader.no_body = link->no_body;
 	if (bufferevent_write(link->bev, head.data, head.len) != 0 ||
 	    add_body(link, body) != 0)
 		return PB_ENOMEM;
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -213,6 +213,7 @@
 	if (backend == NULL)
 		return PB_ENOENT;
 	x->route = route;
+	x->is_head = x->conn->reader.head.method == HTTP_HEAD;
 	x->account = account;
 	x->service = backend->service;
 	x->budget = find_budget(gw, backend->service);
--- a/source/http/http-reader.c
+++ b/source/http/http-reader.c
@@ -161,7 +161,7 @@
 	r->head.method = parser->method;
 	r->head.status = parser->status_code;
 	r->head.keep_alive = http_should_keep_alive(parser) != 0;
-	r->head.until_close = parser->type == HTTP_RESPONSE &&
+	r->head.until_close = parser->type == HTTP_RESPONSE && !r->no_body &&
 	    (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 	if (r->ops != NULL && r->ops->head != NULL)
 		r->ops->head(r);
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -208,8 +208,9 @@
 	size_t n = strlen(BODY_PREFIX) + strlen(c->backend->id);
 
 	send_response_head(c, status, request_id, sealed);
-	evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n" BODY_PREFIX "%s",
-	    n, c->backend->id);
+	evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n", n);
+	if (c->reader.head.method != HTTP_HEAD)
+		evbuffer_add_printf(out, BODY_PREFIX "%s", c->backend->id);
 }
 
 /* Sends a refusal; request_id: NULL for a refusal without an id. */
