Accept any number of fields within the limit of the head

A request with more than 64 fields got 431 although it was within max-header-bytes.

Cause: the reader kept fields in an array of fixed size. It now grows; the number of lines is limited by the limit of the head in bytes. test-http failed for 100 fields in 900 bytes before; fields without end still end at the limit.

--- a/include/poplarbeam/http.h
+++ b/include/poplarbeam/http.h
@@ -10,8 +10,6 @@
  * http-parser. Ambiguous framing is an error (RFC 9112, section 6).
  */
 
-#define PB_HTTP_FIELDS_MAX 64
-
 /* Offsets and lengths in the text of the head, in bytes. */
 struct pb_http_field {
 	uint32_t name;
@@ -22,8 +20,9 @@
 
 struct pb_http_head {
 	struct pb_buf text; /* the request target, then names and values */
-	struct pb_http_field fields[PB_HTTP_FIELDS_MAX];
+	struct pb_http_field *fields;
 	size_t field_count;
+	size_t field_cap;
 	size_t target_len;
 	enum http_method method;
 	int status;
--- a/source/http/http-reader.c
+++ b/source/http/http-reader.c
@@ -1,6 +1,7 @@
 #include "poplarbeam/http.h"
 
 #include <limits.h>
+#include <stdlib.h>
 #include <string.h>
 
 /*
@@ -8,6 +9,8 @@
  * and the spaces of a request line, or a whole status line.
  */
 #define FIRST_LINE_MAX 64 /* bytes */
+/* Least size of a field line: a name of one byte, a colon and the line end. */
+#define FIELD_LINE_MIN 4 /* bytes */
 
 static struct pb_http_reader *
 get_reader(http_parser *parser)
@@ -37,6 +40,29 @@
 	return 0;
 }
 
+/* Adds a field that begins at the end of the text. */
+static bool
+add_field(struct pb_http_reader *r)
+{
+	struct pb_http_head *h = &r->head;
+
+	if (h->field_count == h->field_cap) {
+		size_t cap = h->field_cap == 0 ? 16 : h->field_cap * 2;
+		struct pb_http_field *fields =
+		    realloc(h->fields, cap * sizeof(*fields));
+
+		if (fields == NULL) {
+			r->error = PB_HTTP_NO_ROOM;
+			return false;
+		}
+		h->fields = fields;
+		h->field_cap = cap;
+	}
+	h->fields[h->field_count++] =
+	    (struct pb_http_field){(uint32_t)h->text.len, 0, 0, 0};
+	return true;
+}
+
 static int
 on_name(http_parser *parser, const char *at, size_t len)
 {
@@ -47,12 +73,8 @@
 	if (r->head_done)
 		return 0;
 	if (r->in_value || h->field_count == 0) {
-		if (h->field_count == PB_HTTP_FIELDS_MAX) {
-			r->error = PB_HTTP_HEAD_TOO_LARGE;
+		if (!add_field(r))
 			return -1;
-		}
-		h->fields[h->field_count++] =
-		    (struct pb_http_field){(uint32_t)h->text.len, 0, 0, 0};
 		r->in_value = false;
 	}
 	if (!append_text(r, at, len))
@@ -270,6 +292,9 @@
 pb_clear_http_reader(struct pb_http_reader *reader)
 {
 	pb_clear_buf(&reader->head.text);
+	free(reader->head.fields);
+	reader->head.fields = NULL;
+	reader->head.field_cap = 0;
 }
 
 void
@@ -320,7 +345,7 @@
 	 * The text of the head omits at least one byte of each line, and up to
 	 * FIRST_LINE_MAX bytes of the first line.
 	 */
-	return r->lines <= PB_HTTP_FIELDS_MAX + 1 &&
+	return r->lines <= r->head_max / FIELD_LINE_MIN + 1 &&
 	    r->line_bytes <= r->head_max + r->lines + FIRST_LINE_MAX;
 }
 
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -139,6 +139,46 @@
 	CU_ASSERT_EQUAL(parse_error(text), PB_HTTP_BODY_TOO_LARGE);
 }
 
+/*
+ * Guards against a head that is within its limit and is refused for the number
+ * of its fields.
+ */
+static void
+test_many_fields(void)
+{
+	struct pb_http_reader r;
+	struct pb_buf text = {0};
+	int i;
+
+	pb_append_fmt(&text, "GET / HTTP/1.1\r\n");
+	for (i = 0; i < 100; i++)
+		pb_append_fmt(&text, "A%d: b\r\n", i);
+	pb_append_fmt(&text, "\r\n");
+	pb_init_http_reader(&r, HTTP_REQUEST, NULL, NULL, 1200, 100);
+	pb_feed_http(&r, text.data, text.len);
+	CU_ASSERT(r.complete);
+	CU_ASSERT_EQUAL(r.head.field_count, 100);
+	CU_ASSERT(pb_str_equal_c(pb_find_http_field(&r.head, "a99"), "b"));
+	pb_clear_http_reader(&r);
+	pb_clear_buf(&text);
+}
+
+/* Guards against fields without end, each of the least size. */
+static void
+test_endless_fields(void)
+{
+	struct pb_http_reader r;
+	int i;
+
+	pb_init_http_reader(&r, HTTP_REQUEST, NULL, NULL, 1200, 100);
+	pb_feed_http(&r, "GET / HTTP/1.1\r\n", 16);
+	for (i = 0; i < 1000 && r.error == PB_HTTP_OK; i++)
+		pb_feed_http(&r, "a:\r\n", 4);
+	CU_ASSERT_EQUAL(r.error, PB_HTTP_HEAD_TOO_LARGE);
+	CU_ASSERT(i <= 302);
+	pb_clear_http_reader(&r);
+}
+
 /* Guards against a truncated response that is reported as complete. */
 static void
 test_end_of_connection(void)
@@ -180,6 +220,8 @@
 	static CU_TestInfo tests[] = {
 	    {"ambiguous framing", test_ambiguous_framing},
 	    {"pieces", test_pieces}, {"limits", test_limits},
+	    {"many fields", test_many_fields},
+	    {"endless fields", test_endless_fields},
 	    {"end of connection", test_end_of_connection},
 	    {"hop fields", test_hop_fields}, CU_TEST_INFO_NULL};
 
