Wait for an instance that reads a long body late

What callers saw: 502 for a request whose instance took its long body 3 s after it had been sent.

Cause: TCP_USER_TIMEOUT of 1.5 s, which finds lost peers, also ends a connection whose peer is alive, acknowledges all probes and has no room.

Change: 15 s while a request body of 16 KiB or more is sent.

Test: gateway-late-reader stops the instance for 3 s under 16 MB; 502 twice on the commit before and on, now 200. gateway-dead passes.

--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -106,6 +106,8 @@
  * peer is detected.
  */
 void pb_set_socket_options(evutil_socket_t fd);
+/* Gives the peer more time to read while a long body is sent. */
+void pb_set_long_body(evutil_socket_t fd, bool is_long);
 /* Writes as much as the socket accepts now and queues the rest. */
 int pb_write_now(struct bufferevent *bev, struct pb_str data);
 /* Sets the timer to fire once after the delay; replaces an earlier setting. */
@@ -154,6 +156,7 @@
 	bool not_reusable; /* closed after the current call */
 	bool reused; /* was idle before the current call */
 	bool no_body; /* a HEAD request: its response has no body */
+	bool long_body; /* the request has a long body */
 };
 
 /* Opens a connection to the instance; returns NULL on failure. */
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -322,10 +322,14 @@
 add_body(struct pb_link *link, struct pb_str body)
 {
 	struct evbuffer *out = bufferevent_get_output(link->bev);
+	bool is_long = body.len >= COPY_MAX;
 
+	if (is_long != link->long_body)
+		pb_set_long_body(bufferevent_getfd(link->bev), is_long);
+	link->long_body = is_long;
 	if (body.len == 0)
 		return 0;
-	if (body.len < COPY_MAX)
+	if (!is_long)
 		return bufferevent_write(link->bev, body.data, body.len);
 	return evbuffer_add_reference(out, body.data, body.len, NULL, NULL);
 }
--- a/source/gateway/gateway-net.c
+++ b/source/gateway/gateway-net.c
@@ -7,6 +7,11 @@
 
 /* A connection fails if sent data stays unacknowledged for this long. */
 #define USER_TIMEOUT_MS 1500
+/*
+ * The same while a long body is sent. The time also passes while the peer
+ * acknowledges everything but reads nothing, which a sound one may do.
+ */
+#define LONG_BODY_TIMEOUT_MS 15000
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_PERIOD_S 1
 #define KEEPALIVE_PROBES 2
@@ -45,6 +50,14 @@
 		    &options[i].value, sizeof(options[i].value));
 }
 
+void
+pb_set_long_body(evutil_socket_t fd, bool is_long)
+{
+	int ms = is_long ? LONG_BODY_TIMEOUT_MS : USER_TIMEOUT_MS;
+
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 int
 pb_write_now(struct bufferevent *bev, struct pb_str data)
 {
