Share the successes of requests as well as their crashes

A router that had had no success of its own with a popular request could refuse it for 60 s after three instances had crashed while it was in progress, though it succeeded through other routers: they heard of its crashes and did not tell of their successes, as they do for prompt parts.

Requests and parts are now treated alike: a report of a crash of what has succeeded here is answered by the success. test-suspects failed before and passes; gateway-crashing-part and gateway-poison pass.

--- a/include/poplarbeam/suspects.h
+++ b/include/poplarbeam/suspects.h
@@ -69,7 +69,7 @@
 /*
  * Stores up to cap records for other routers and returns their number: recent
  * crashes, all crashes of fingerprints that are refused, and the successes of
- * prompt parts that other routers may suspect.
+ * fingerprints that other routers may suspect.
  */
 size_t pb_read_crashes(struct pb_context *ctx, struct pb_suspects *suspects,
     struct pb_crash *crashes, size_t cap);
--- a/source/suspects/suspects-table.c
+++ b/source/suspects/suspects-table.c
@@ -265,11 +265,11 @@
 }
 
 /*
- * Marks a suspected prompt part as cleared, so that other routers learn of the
- * success.
+ * Marks a suspect as cleared, so that other routers learn of the success.
  */
 static void
-clear_part(struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
+clear_suspect(
+    struct pb_context *ctx, struct pb_suspects *s, uint64_t fingerprint)
 {
 	struct suspect *p = find_or_add_suspect(s, fingerprint);
 
@@ -284,10 +284,9 @@
 {
 	struct suspect *p;
 
-	if (is_part(crash->fingerprint) &&
-	    has_succeeded(ctx, s, crash->fingerprint)) {
+	if (has_succeeded(ctx, s, crash->fingerprint)) {
 		if (!own)
-			clear_part(ctx, s, crash->fingerprint);
+			clear_suspect(ctx, s, crash->fingerprint);
 		return false;
 	}
 	p = find_or_add_suspect(s, crash->fingerprint);
@@ -297,8 +296,7 @@
 	if (own && is_part(crash->fingerprint) && p->victim_count > 0 &&
 	    pb_now(ctx) - p->crashed_us < SAME_EVENT_US)
 		return false;
-	return add_victim(ctx, s, p, crash->victim) &&
-	    !has_succeeded(ctx, s, crash->fingerprint);
+	return add_victim(ctx, s, p, crash->victim);
 }
 
 bool
@@ -325,12 +323,8 @@
 	struct suspect *p = find_suspect(suspects, fingerprint);
 
 	pb_set_lru(suspects->succeeded, fingerprint, (uint64_t)pb_now(ctx));
-	if (p == NULL)
-		return;
-	if (!is_part(fingerprint))
-		memset(p, 0, sizeof(*p));
-	else if (p->victim_count > 0)
-		clear_part(ctx, suspects, fingerprint);
+	if (p != NULL && p->victim_count > 0)
+		clear_suspect(ctx, suspects, fingerprint);
 }
 
 void
--- a/tests/test-suspects.c
+++ b/tests/test-suspects.c
@@ -282,6 +282,28 @@
 	pb_drop_suspects(ctx, s);
 }
 
+/*
+ * Guards against a popular request that a router refuses although it succeeds
+ * through others, because routers share its crashes and not its successes.
+ */
+static void
+test_request_success_report(void)
+{
+	struct pb_suspects *serving = pb_new_suspects(ctx);
+	struct pb_suspects *refusing = pb_new_suspects(ctx);
+	uint64_t i;
+
+	pb_note_success(ctx, serving, 7);
+	for (i = 1; i <= 3; i++)
+		crash(refusing, 7, i);
+	CU_ASSERT(pb_refusal_left(ctx, refusing, 7) > 0);
+	report(refusing, serving);
+	report(serving, refusing);
+	CU_ASSERT_EQUAL(pb_refusal_left(ctx, refusing, 7), 0);
+	pb_drop_suspects(ctx, serving);
+	pb_drop_suspects(ctx, refusing);
+}
+
 int
 main(void)
 {
@@ -290,6 +312,7 @@
 	    {"many", test_many}, {"prompt part", test_part},
 	    {"reset together", test_reset_together},
 	    {"success report", test_success_report},
+	    {"request success report", test_request_success_report},
 	    {"refusal report", test_refusal_report},
 	    {"begun part", test_begun_part}, {"part kept", test_part_kept},
 	    CU_TEST_INFO_NULL};
