Send no chunk in the response to HEAD of a stream

A response to HEAD is no longer treated as a stream. gateway-heads showed the bytes before and passes.

--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -294,7 +294,7 @@
 	}
 	note_load(x);
 	x->status = h->status;
-	x->streaming = h->status == 200 && is_event_stream(h);
+	x->streaming = h->status == 200 && is_event_stream(h) && !x->is_head;
 	x->until_close = h->until_close;
 	/* The length of each event is limited instead of the stream's. */
 	if (x->streaming)
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -436,7 +436,9 @@
 	evbuffer_add_printf(bufferevent_get_output(c->bev),
 	    "Content-Type: text/event-stream\r\n%s\r\n\r\n",
 	    c->unframed ? "Connection: close" : "Transfer-Encoding: chunked");
-	if (is_action(c, "open-none"))
+	if (c->reader.head.method == HTTP_HEAD)
+		end_request(c);
+	else if (is_action(c, "open-none"))
 		close_after_flush(c);
 	else
 		continue_stream(c);
