Evacuate failure domains, and limit requests to cold instances

Cause: nothing in the source read an evacuation that the operator orders, how long an instance stays cold, or what a cold instance takes.

Change: the rows evacuate/ZONE of the operator's table become a list in the registry; routers pass it on with their answers to polls, with the store version up to which it is complete, so that a replayed or older state changes nothing. An instance of an evacuated domain takes no request, and no prefix is fetched from it.

A cold instance gets requests from a few routers only, which rendezvous hashing selects, each with a fixed quota for a window; after the cold time the senders double in steps. An instance counts as cold by its entry, after the end of an evacuation, after a router could not connect to it, and after a suspension of the router.

--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -116,6 +116,11 @@
 	    struct pb_str body, struct pb_store_page *page);
 	/* True if this row of the operator's table has the configuration. */
 	bool (*is_routing_key)(struct pb_str key);
+	/*
+	 * True if the presence of this row of the operator's table orders the
+	 * evacuation of a failure domain, which is then a part of key.
+	 */
+	bool (*read_evacuation)(struct pb_str key, struct pb_str *domain);
 	/* Returns NULL and sets the context's error if value is malformed. */
 	struct pb_routing *(*read_routing)(
 	    struct pb_context *ctx, struct pb_str value);
--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -1,7 +1,7 @@
 #ifndef POPLARBEAM_REGISTRY_H
 #define POPLARBEAM_REGISTRY_H
 
-#include "poplarbeam/base.h"
+#include "poplarbeam/routing.h"
 
 /*
  * Registry of the upstream instances that the platform lists: tracks their load
@@ -18,11 +18,18 @@
 	int slots; /* number of requests run concurrently */
 	bool draining;
 	int64_t started_ms; /* Unix time of the process start; 0: unknown */
+	int64_t cold_left_us; /* until it takes its full load */
+	/*
+	 * Store version of the entry; 0: read from another router, which has
+	 * deducted the age of the entry from cold_left_us.
+	 */
+	int64_t row_version;
 };
 
 struct pb_link;
 
 #define PB_INSTANCE_TEXT 64
+#define PB_SENDS_KEPT 16
 
 /* Exponentially decayed counts of completed attempts at an instance. */
 struct pb_attempt_counts {
@@ -68,6 +75,21 @@
 	int64_t leaving_us; /* when it first said so */
 	int64_t paused_until_us; /* has asked for no requests; 0: never */
 	bool pause_ended; /* the end of the pause has been logged */
+	bool evacuated; /* its failure domain takes no requests */
+	int64_t cold_start_us; /* of its service; 0: it is never cold */
+	double cold_per_s; /* requests per second that it takes while cold */
+	int64_t row_version; /* store version of the entry; 0: unknown */
+	int64_t cold_until_us; /* as the instance reported */
+	/* May be cold until then although it has not reported it. */
+	int64_t suspect_until_us;
+	/* No connection could be opened since; it may have restarted. */
+	bool unreached;
+	/* When this router sent its last requests, a ring buffer. */
+	int64_t sent_us[PB_SENDS_KEPT];
+	size_t sent_count; /* total */
+	/* Rank of this router among the senders while the instance is cold. */
+	size_t sender_rank;
+	int64_t sender_rank_version; /* of the routers it was computed for */
 	struct pb_attempt_counts own; /* attempts of this router */
 	/* Known attempts of all routers of the failure domain. */
 	struct pb_attempt_counts shared;
@@ -166,6 +188,70 @@
 struct pb_closed_counts pb_count_closed(
     struct pb_context *ctx, const struct pb_registry *registry);
 
+/* A failure domain whose instances take no requests, by operator's order. */
+struct pb_evacuation {
+	char domain[PB_INSTANCE_TEXT];
+	int64_t since_us; /* when this router learned of it */
+	bool listed; /* seen in the current listing */
+};
+
+/*
+ * Records that the operator has ordered the evacuation of a failure domain, or
+ * has ended it, at this version of the store. Changes up to the version of
+ * pb_note_evacuations_version are known already and are ignored.
+ */
+void pb_note_evacuation(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_str domain, bool active, int64_t version);
+/*
+ * Bracket a listing of all evacuations: pb_end_evacuations ends those that were
+ * not noted between the two calls.
+ */
+void pb_begin_evacuations(struct pb_registry *registry);
+void pb_end_evacuations(struct pb_context *ctx, struct pb_registry *registry);
+/* Records that all evacuations up to this version of the store are known. */
+void pb_note_evacuations_version(struct pb_registry *registry, int64_t version);
+int64_t pb_evacuations_version(const struct pb_registry *registry);
+/* Returns the evacuations, which are valid until the next change. */
+const struct pb_evacuation *pb_read_evacuations(
+    const struct pb_registry *registry, size_t *count);
+
+/* Applies the configuration of the services to all their instances. */
+int pb_set_services(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_service *services, size_t count);
+/*
+ * Sets the hashes of all routers as of this version of the store; an older set
+ * is ignored. While an instance is cold, a few routers may send requests to it,
+ * which they agree on by these hashes. own: hash of this router, which counts
+ * whether it is in the set or not.
+ */
+int pb_set_routers(struct pb_context *ctx, struct pb_registry *registry,
+    uint64_t own, const uint64_t *routers, size_t count, int64_t version);
+int64_t pb_routers_version(const struct pb_registry *registry);
+/* Stores the hashes of up to cap routers, and returns their number. */
+size_t pb_read_routers(
+    const struct pb_registry *registry, uint64_t *routers, size_t cap);
+/*
+ * Records that the process runs, to be called several times a second. After a
+ * suspension of the process, any instance may have become cold unnoticed until
+ * the list is current again.
+ */
+void pb_note_running(struct pb_context *ctx, struct pb_registry *registry);
+/* Records that the list of instances was current at fresh_us. */
+void pb_note_list_renewed(struct pb_registry *registry, int64_t fresh_us);
+/* Records a request that this router sends to the instance. */
+void pb_note_send(struct pb_context *ctx, struct pb_instance *instance);
+/* Records that the instance has answered. */
+void pb_note_answer(struct pb_context *ctx, struct pb_instance *instance);
+
+struct pb_cold_counts {
+	size_t instances; /* cold, or taken as cold */
+	size_t assigned; /* those to which this router may send requests */
+	size_t sends; /* requests sent to them within the last window */
+};
+
+struct pb_cold_counts pb_count_cold(
+    struct pb_context *ctx, struct pb_registry *registry);
+
 /* Returns the number of instances that are neither draining nor leaving. */
 size_t pb_count_instances(const struct pb_registry *registry);
 struct pb_instance *pb_find_instance(
--- a/include/poplarbeam/routing.h
+++ b/include/poplarbeam/routing.h
@@ -44,6 +44,15 @@
 	int priority;
 };
 
+/* What the configuration says of the instances of one service. */
+struct pb_service {
+	struct pb_str name;
+	/* How long an instance is cold after its start; 0: never. */
+	int64_t cold_start_us;
+	double cold_per_s; /* requests that a cold instance takes per second */
+	int64_t memory_tokens; /* memory of one instance; 0: not limited */
+};
+
 #define PB_NO_PRIORITY (-1)
 /* Number of priorities; larger values are treated as the last one. */
 #define PB_PRIORITY_COUNT 10
@@ -76,6 +85,8 @@
 	int64_t version;
 	struct pb_route *routes; /* sorted by host and prefix */
 	size_t route_count;
+	struct pb_service *services;
+	size_t service_count;
 	struct pb_account *accounts;
 	size_t account_count;
 	struct pb_account_key *keys; /* sorted by key */
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -19,6 +19,8 @@
 #define OUTCOMES_MAX 64
 #define STREAMS_MAX 512
 #define CRASHES_MAX 64
+#define EVACUATED_MAX 64
+#define ROUTERS_MAX 4096
 
 typedef char *change_text;
 
@@ -31,6 +33,7 @@
 	int slots;
 	bool_t draining;
 	quad_t started_ms;
+	u_int cold_left_ms;
 };
 typedef struct change_entry change_entry;
 
@@ -94,6 +97,7 @@
 		u_int crashes_len;
 		crash_report *crashes_val;
 	} crashes;
+	quad_t routers_row;
 };
 typedef struct change_question change_question;
 
@@ -126,6 +130,16 @@
 		u_int crashes_len;
 		crash_report *crashes_val;
 	} crashes;
+	quad_t evacuations_row;
+	struct {
+		u_int evacuated_len;
+		change_text *evacuated_val;
+	} evacuated;
+	quad_t routers_row;
+	struct {
+		u_int routers_len;
+		u_quad_t *routers_val;
+	} routers;
 };
 typedef struct change_answer change_answer;
 
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -9,6 +9,8 @@
 const OUTCOMES_MAX = 64;	/* per message; 768 bytes in all */
 const STREAMS_MAX = 512;	/* per message; 4 KB in all */
 const CRASHES_MAX = 64;		/* per message; 1 KB in all */
+const EVACUATED_MAX = 64;	/* per message */
+const ROUTERS_MAX = 4096;	/* per message; 32 KB in all */
 
 typedef string change_text<CHANGE_TEXT_MAX>;
 
@@ -22,6 +24,7 @@
 	int slots;
 	bool draining;
 	hyper started_ms;
+	unsigned int cold_left_ms;	/* until it takes its full load */
 };
 
 /* Load that an instance reported in a response to a request. */
@@ -68,6 +71,7 @@
 	/* Streams of the polling router and of the routers that poll it. */
 	stream_report streams<STREAMS_MAX>;
 	crash_report crashes<CRASHES_MAX>; /* known to the polling router */
+	hyper routers_row;	/* of the known list of routers; 0: none */
 };
 
 struct change_answer {
@@ -88,6 +92,11 @@
 	outcome_report outcomes<OUTCOMES_MAX>; /* of all polling routers */
 	stream_report streams<STREAMS_MAX>; /* of all but the polling router */
 	crash_report crashes<CRASHES_MAX>; /* known to the answering router */
+	hyper evacuations_row;	/* store version of the evacuated domains */
+	change_text evacuated<EVACUATED_MAX>; /* failure domains */
+	hyper routers_row;	/* store version of the list of routers */
+	/* Hashes of all routers; empty if the polling router knows them. */
+	unsigned hyper routers<ROUTERS_MAX>;
 };
 
 /* Value of a router's row in the store. */
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -36,6 +36,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->started_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_left_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -132,6 +134,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CRASHES_MAX,
 		sizeof (crash_report), (xdrproc_t) xdr_crash_report))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routers_row))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -171,6 +175,16 @@
 	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, CRASHES_MAX,
 		sizeof (crash_report), (xdrproc_t) xdr_crash_report))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->evacuations_row))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, EVACUATED_MAX,
+		sizeof (change_text), (xdrproc_t) xdr_change_text))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->routers_row))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->routers.routers_val, (u_int *) &objp->routers.routers_len, ROUTERS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -127,6 +127,7 @@
 	x->instance = pb_keep_instance(inst);
 	x->tried[x->tried_count++] = pb_keep_instance(inst);
 	pb_note_dispatch(inst, x->route->kind == PB_ROUTE_STREAMING);
+	pb_note_send(gw->ctx, inst);
 	pb_note_start(gw->ctx, x->budget->admission, x->rank);
 	x->boosted = pb_take_boost(gw->ctx, x->budget->admission, x->rank);
 	log_dispatch(x, facts);
@@ -280,6 +281,7 @@
 	bool is_other_answer;
 
 	x->gw->adapter->read_response(h, info);
+	pb_note_answer(x->gw->ctx, x->instance);
 	x->progress_us = pb_now(x->gw->ctx);
 	is_other_answer = info->request_id.len > 0 &&
 	    !pb_str_equal(info->request_id, x->request_id);
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -70,6 +70,7 @@
 
 	(void)fd;
 	(void)what;
+	pb_note_running(gw->ctx, gw->registry);
 	pb_sweep_conns(gw);
 	pb_enforce_memory_limit(gw);
 	pb_answer_held_polls(gw);
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -57,7 +57,7 @@
 /* Maximum size of a poll with all its reports, in bytes. */
 #define POLL_MAX                                                    \
 	((LOAD_REPORTS_MAX + OUTCOMES_MAX) * 12 + STREAMS_MAX * 8 + \
-	    CRASHES_MAX * 16 + 64)
+	    CRASHES_MAX * 16 + 72)
 /*
  * How long a router that gave no usable answer is avoided. The time doubles
  * with each consecutive poll without an answer, up to a factor of 64, because
@@ -423,6 +423,7 @@
 	    .since = f->since,
 	    .routing_row = f->gw->routing_row,
 	    .list_row = pb_list_version(f->gw->registry),
+	    .routers_row = pb_routers_version(f->gw->registry),
 	    .reports_since = f->reports_since,
 	    .reports = {0, reports},
 	    .outcomes = {0, outcomes},
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -127,6 +127,11 @@
  */
 struct pb_instance *pb_first_router(struct pb_gateway *gw,
     const struct pb_router_list *list, const char *domain, uint64_t limit);
+/*
+ * Gives the hashes of all listed routers to the registry. version: of the store
+ * at the time of the listing.
+ */
+void pb_share_router_hashes(struct pb_gateway *gw, int64_t version);
 /* Counts this router and all other known ones, of all failure domains. */
 size_t pb_count_routers(const struct pb_gateway *gw);
 void pb_clear_routers(struct pb_router_list *list);
--- a/source/gateway/gateway-metrics.c
+++ b/source/gateway/gateway-metrics.c
@@ -80,6 +80,7 @@
 	int64_t now = pb_now(gw->ctx);
 	struct pb_closed_counts closed = pb_count_closed(gw->ctx, gw->registry);
 	const struct pb_exchange *x;
+	struct pb_cold_counts cold = pb_count_cold(gw->ctx, gw->registry);
 	const struct pb_service_budget *b;
 	int64_t in_flight = 0;
 	size_t waiting = 0;
@@ -99,6 +100,9 @@
 	    "poplarbeam_contained %zu\n"
 	    "poplarbeam_instances_leaving %zu\n"
 	    "poplarbeam_instances_paused %zu\n"
+	    "poplarbeam_instances_cold %zu\n"
+	    "poplarbeam_instances_cold_assigned %zu\n"
+	    "poplarbeam_cold_requests_sent %zu\n"
 	    "poplarbeam_leaving_marks_total %lld\n"
 	    "poplarbeam_pause_marks_total %lld\n"
 	    "poplarbeam_unreadable_pauses_total %lld\n"
@@ -111,13 +115,31 @@
 	    pb_count_avoided(gw->ctx, gw->registry),
 	    (long long)gw->unreadable_loads, (long long)gw->broken_attempts,
 	    pb_count_refused(gw->ctx, gw->suspects), closed.leaving,
-	    closed.paused, (long long)gw->leaving_marks,
-	    (long long)gw->pause_marks, (long long)gw->unreadable_pauses,
+	    closed.paused, cold.instances, cold.assigned, cold.sends,
+	    (long long)gw->leaving_marks, (long long)gw->pause_marks,
+	    (long long)gw->unreadable_pauses,
 	    gw->routing != NULL ? (long long)gw->routing->version : -1,
 	    (double)(now - gw->routing_fresh_us) / PB_SEC,
 	    (double)(now - gw->instances_fresh_us) / PB_SEC);
 }
 
+static int
+format_evacuations(const struct pb_gateway *gw, struct pb_buf *buf)
+{
+	const struct pb_evacuation *list;
+	size_t i, n;
+	int rc;
+
+	list = pb_read_evacuations(gw->registry, &n);
+	rc = pb_append_fmt(buf, "poplarbeam_evacuated_domains %zu\n", n);
+	for (i = 0; i < n && rc == PB_OK; i++)
+		rc = pb_append_fmt(buf,
+		    "poplarbeam_evacuation_age_seconds{domain=\"%s\"} %.3f\n",
+		    list[i].domain,
+		    (double)(pb_now(gw->ctx) - list[i].since_us) / PB_SEC);
+	return rc;
+}
+
 /* Returns true if no request has ended for the reason. */
 static bool
 is_unused(const struct pb_gateway_metrics *m, size_t reason)
@@ -138,6 +160,8 @@
 	size_t i, k;
 	int rc = format_state(gw, buf);
 
+	if (rc == PB_OK)
+		rc = format_evacuations(gw, buf);
 	for (i = 0; i < PB_END_REASONS; i++) {
 		if (is_unused(m, i))
 			continue;
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -36,7 +36,8 @@
 }
 
 static void
-fill_entry(struct change_entry *e, const struct pb_instance_change *c)
+fill_entry(
+    struct change_entry *e, const struct pb_instance_change *c, int64_t now)
 {
 	const struct pb_instance *inst = c->instance;
 
@@ -51,6 +52,47 @@
 	e->slots = inst->slots;
 	e->draining = inst->draining;
 	e->started_ms = inst->started_ms;
+	if (now < inst->cold_until_us)
+		e->cold_left_ms =
+		    (u_int)((inst->cold_until_us - now) / PB_MSEC);
+}
+
+/* names: room for EVACUATED_MAX pointers. */
+static void
+fill_evacuations(
+    struct pb_gateway *gw, struct change_answer *answer, change_text *names)
+{
+	const struct pb_evacuation *list;
+	size_t i, n;
+
+	list = pb_read_evacuations(gw->registry, &n);
+	for (i = 0; i < n && i < EVACUATED_MAX; i++)
+		names[i] = (char *)list[i].domain;
+	answer->evacuated.evacuated_val = names;
+	answer->evacuated.evacuated_len = (u_int)i;
+	answer->evacuations_row = pb_evacuations_version(gw->registry);
+}
+
+/* Returns NULL if the polling router knows the list of routers. */
+static uint64_t *
+fill_routers(struct pb_gateway *gw, const struct change_question *q,
+    struct change_answer *answer)
+{
+	int64_t version = pb_routers_version(gw->registry);
+	uint64_t *routers;
+
+	answer->routers_row = version;
+	if (q->routers_row >= version)
+		return NULL;
+	routers = calloc(ROUTERS_MAX, sizeof(*routers));
+	if (routers == NULL) {
+		answer->routers_row = 0;
+		return NULL;
+	}
+	answer->routers.routers_val = (u_quad_t *)routers;
+	answer->routers.routers_len =
+	    (u_int)pb_read_routers(gw->registry, routers, ROUTERS_MAX);
+	return routers;
 }
 
 static int
@@ -100,6 +142,8 @@
 	struct outcome_report outcomes[OUTCOMES_MAX];
 	struct stream_report streams[STREAMS_MAX];
 	struct crash_report crashes[CRASHES_MAX];
+	change_text evacuated[EVACUATED_MAX];
+	uint64_t *routers;
 	struct pb_instance_change *changes;
 	size_t i, n;
 	int rc;
@@ -122,6 +166,8 @@
 	    pb_fill_streams(gw, true, conn->streams, streams);
 	answer.crashes.crashes_val = crashes;
 	answer.crashes.crashes_len = pb_fill_crashes(gw, crashes);
+	fill_evacuations(gw, &answer, evacuated);
+	routers = fill_routers(gw, q, &answer);
 	n = pb_read_changes(gw->registry, since, answer.full, NULL, 0);
 	changes = calloc(n + 1, sizeof(*changes));
 	answer.entries.entries_val =
@@ -132,12 +178,14 @@
 	}
 	pb_read_changes(gw->registry, since, answer.full, changes, n);
 	for (i = 0; i < n; i++)
-		fill_entry(&answer.entries.entries_val[i], &changes[i]);
+		fill_entry(&answer.entries.entries_val[i], &changes[i],
+		    pb_now(gw->ctx));
 	answer.entries.entries_len = (u_int)n;
 	rc = encode_answer(&answer, buf);
 out:
 	free(changes);
 	free(answer.entries.entries_val);
+	free(routers);
 	return rc;
 }
 
--- a/source/gateway/gateway-reports.c
+++ b/source/gateway/gateway-reports.c
@@ -117,7 +117,8 @@
 	    .domain = pb_str_from(e->domain),
 	    .slots = e->slots,
 	    .draining = e->draining,
-	    .started_ms = e->started_ms};
+	    .started_ms = e->started_ms,
+	    .cold_left_us = e->cold_left_ms * PB_MSEC};
 
 	if (e->gone)
 		pb_remove_instance(gw->ctx, gw->registry, entry.id);
@@ -153,6 +154,34 @@
 	}
 }
 
+/* Replaces the evacuations unless the answer is older than this router's. */
+static void
+apply_evacuations(struct pb_gateway *gw, const struct change_answer *answer)
+{
+	int64_t version = answer->evacuations_row;
+	u_int i;
+
+	if (version < pb_evacuations_version(gw->registry))
+		return;
+	pb_begin_evacuations(gw->registry);
+	for (i = 0; i < answer->evacuated.evacuated_len; i++)
+		pb_note_evacuation(gw->ctx, gw->registry,
+		    pb_str_from(answer->evacuated.evacuated_val[i]), true, 0);
+	pb_end_evacuations(gw->ctx, gw->registry);
+	pb_note_evacuations_version(gw->registry, version);
+}
+
+static void
+apply_routers(struct pb_gateway *gw, const struct change_answer *answer)
+{
+	if (answer->routers.routers_len > 0 &&
+	    pb_set_routers(gw->ctx, gw->registry,
+		pb_hash_cstr(gw->settings.instance, 0),
+		(const uint64_t *)answer->routers.routers_val,
+		answer->routers.routers_len, answer->routers_row) != PB_OK)
+		pb_log_error(gw->ctx, PB_ERROR, NULL);
+}
+
 void
 pb_apply_changes(
     struct pb_gateway *gw, const struct change_answer *answer, int64_t sent_us)
@@ -161,6 +190,8 @@
 
 	/* The ages are those at the arrival of the poll, after sent_us. */
 	pb_note_instances_fresh(gw, sent_us - answer->instances_age);
+	apply_evacuations(gw, answer);
+	apply_routers(gw, answer);
 	if (answer->full)
 		pb_begin_listing(gw->registry);
 	for (i = 0; i < answer->entries.entries_len; i++)
--- a/source/gateway/gateway-routers.c
+++ b/source/gateway/gateway-routers.c
@@ -125,6 +125,25 @@
 	return best;
 }
 
+void
+pb_share_router_hashes(struct pb_gateway *gw, int64_t version)
+{
+	const struct pb_router_list *list = pb_known_routers(gw->follower);
+	uint64_t *hashes = calloc(list->count + 1, sizeof(*hashes));
+	const struct pb_router *r;
+	size_t n = 0;
+
+	for (r = list->first; r != NULL && hashes != NULL; r = r->next)
+		hashes[n++] = r->instance->hash;
+	if (hashes == NULL ||
+	    pb_set_routers(gw->ctx, gw->registry,
+		pb_hash_cstr(gw->settings.instance, 0), hashes, n,
+		version) != PB_OK)
+		pb_log(gw->ctx, PB_ERROR, "list routers", NULL, NULL,
+		    "out of memory; the list of routers stays as it was");
+	free(hashes);
+}
+
 size_t
 pb_count_routers(const struct pb_gateway *gw)
 {
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -83,6 +83,9 @@
 	    routing->route_count, routing->account_count, routing->key_count);
 	pb_drop_routing(gw->ctx, gw->routing);
 	gw->routing = routing;
+	if (pb_set_services(gw->ctx, gw->registry, routing->services,
+		routing->service_count) != PB_OK)
+		pb_log_error(gw->ctx, PB_ERROR, NULL);
 }
 
 void
@@ -116,15 +119,38 @@
 }
 
 static void
-on_routing_row(struct pb_gateway *gw, struct pb_arena *arena,
+on_operator_row(struct pb_gateway *gw, struct pb_arena *arena,
     const struct pb_store_row *row)
 {
+	struct pb_str domain;
+
 	(void)arena;
-	if (!row->removed && !row->unreadable &&
+	if (gw->adapter->read_evacuation(row->key, &domain))
+		pb_note_evacuation(
+		    gw->ctx, gw->registry, domain, !row->removed, row->version);
+	else if (!row->removed && !row->unreadable &&
 	    gw->adapter->is_routing_key(row->key))
 		pb_apply_routing_row(gw, row->value, row->version);
 }
 
+static void
+on_operator_begin(struct pb_gateway *gw)
+{
+	pb_begin_evacuations(gw->registry);
+}
+
+static void
+on_operator_end(struct pb_gateway *gw)
+{
+	pb_end_evacuations(gw->ctx, gw->registry);
+}
+
+static void
+on_operator_complete(struct pb_gateway *gw, int64_t version)
+{
+	pb_note_evacuations_version(gw->registry, version);
+}
+
 void
 pb_note_routing_fresh(struct pb_gateway *gw, int64_t fresh_us)
 {
@@ -139,6 +165,7 @@
 	struct pb_list_gap gap = {fresh_us - before,
 	    pb_last_watch_failure(gw->instance_watch) > before};
 
+	pb_note_list_renewed(gw->registry, fresh_us);
 	if (before != 0)
 		pb_note_list_gap(gw->ctx, gw->registry, &gap);
 	if (fresh_us > before)
@@ -221,13 +248,22 @@
 	pb_note_routers_listed(gw->follower);
 }
 
+static void
+on_routers_complete(struct pb_gateway *gw, int64_t version)
+{
+	pb_share_router_hashes(gw, version);
+}
+
 static int64_t
 find_routing_version(const struct pb_gateway *gw)
 {
 	return gw->routing_row;
 }
 
-const struct pb_watch_ops pb_routing_watch_ops = {.apply_row = on_routing_row,
+const struct pb_watch_ops pb_routing_watch_ops = {.apply_row = on_operator_row,
+    .begin_listing = on_operator_begin,
+    .end_listing = on_operator_end,
+    .note_complete = on_operator_complete,
     .known_version = find_routing_version,
     .note_fresh = pb_note_routing_fresh,
     .max_age = find_routing_max_age,
@@ -254,6 +290,7 @@
 
 const struct pb_watch_ops pb_router_watch_ops = {.apply_row = on_router_row,
     .end_listing = on_routers_end,
+    .note_complete = on_routers_complete,
     .table = PB_STORE_ROUTERS,
     .name = "the list of routers",
     .wait_ms = 0,
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -61,6 +61,7 @@
 
 /* One selection of an instance. */
 struct search {
+	const struct pb_registry *reg;
 	const struct pb_placement *p;
 	int64_t now;
 	bool last_resort; /* leaving instances are candidates, too */
@@ -74,9 +75,10 @@
 }
 
 static bool
-has_room(const struct search *s, const struct pb_instance *inst)
+has_room(const struct search *s, struct pb_instance *inst)
 {
-	if (pb_is_ramping(inst, s->now))
+	if (pb_is_ramping(inst, s->now) ||
+	    !pb_has_cold_room(s->reg, inst, s->now))
 		return false;
 	return s->p->fill_limit <= 0 || inst->slots <= 0 ||
 	    estimate_load(inst, s->now) + 1 <= s->p->fill_limit * inst->slots;
@@ -106,11 +108,13 @@
 	size_t not_failing; /* candidates that meet HEALTH_NOT_FAILING */
 	int64_t slots; /* sum over all candidates */
 	double sum; /* of the estimated loads of all candidates */
+	size_t evacuated; /* instances in evacuated failure domains */
 	/* The same counts without the excluded instances. */
 	size_t healthy_left;
 	size_t not_failing_left;
 	size_t reachable_left;
 	size_t ramping_left;
+	size_t cold_left; /* cold, without room for a request now */
 };
 
 static struct service_stats
@@ -122,9 +126,11 @@
 	size_t i;
 
 	for (i = 0; i < reg->count; i++) {
-		const struct pb_instance *inst = reg->instances[i];
+		struct pb_instance *inst = reg->instances[i];
 		bool healthy, not_failing;
 
+		s.evacuated += inst->evacuated &&
+		    pb_str_equal_c(search->p->service, inst->service);
 		if (!is_candidate(search, inst))
 			continue;
 		healthy = has_health(inst, HEALTH_GOOD, now);
@@ -137,6 +143,7 @@
 		if (is_excluded(search->p, inst))
 			continue;
 		s.ramping_left += pb_is_ramping(inst, now);
+		s.cold_left += !pb_has_cold_room(reg, inst, now);
 		s.healthy_left += healthy;
 		s.not_failing_left += not_failing;
 		s.reachable_left += has_health(inst, HEALTH_REACHABLE, now);
@@ -245,7 +252,7 @@
 		const struct pb_instance *inst = reg->instances[i];
 
 		if (inst == chosen || now < inst->avoid_until_us ||
-		    is_excluded(p, inst) ||
+		    inst->evacuated || is_excluded(p, inst) ||
 		    !pb_str_equal_c(p->service, inst->service) ||
 		    now - inst->joined_us < PREFIX_WARMUP_US)
 			continue;
@@ -273,6 +280,20 @@
 	return collect_service_stats(reg, search);
 }
 
+/*
+ * Returns the load up to which the preferred instance of a prefix is selected.
+ * The limit for the load of an instance refers to the mean over the whole
+ * service, so evacuated instances count although they are idle.
+ */
+static double
+find_load_bound(const struct service_stats *s)
+{
+	size_t n = s->candidates + s->evacuated;
+
+	return AFFINITY_FACTOR * (n > 0 ? s->sum / (double)n : 0) +
+	    AFFINITY_SLACK;
+}
+
 /* Sets when a request for which no instance was selected may find one. */
 static void
 set_full(const struct pb_registry *reg, const struct search *search,
@@ -282,7 +303,7 @@
 
 	facts->full =
 	    (p->fill_limit > 0 && s->candidates > p->excluded_count) ||
-	    s->ramping_left > 0;
+	    s->ramping_left > 0 || s->cold_left > 0;
 	if (s->candidates == 0)
 		facts->reopens_us = pb_find_reopening(reg, p->service,
 		    p->excluded, p->excluded_count, search->now);
@@ -294,10 +315,10 @@
 pb_choose_instance(struct pb_context *ctx, struct pb_registry *registry,
     const struct pb_placement *placement, struct pb_placement_facts *facts)
 {
-	struct search search = {placement, pb_now(ctx), false};
+	struct search search = {registry, placement, pb_now(ctx), false};
 	struct service_stats s = begin_search(registry, &search);
 	double mean = s.candidates > 0 ? s.sum / (double)s.candidates : 0;
-	double bound = AFFINITY_FACTOR * mean + AFFINITY_SLACK;
+	double bound = find_load_bound(&s);
 	enum health required = choose_required_health(&s, placement->rnd);
 	struct pb_instance *inst = NULL;
 
--- /dev/null
+++ b/source/registry/registry-evacuation.c
@@ -0,0 +1,204 @@
+#include "registry-internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Failure domains that the operator evacuates: their instances take no
+ * requests until the operator ends the evacuation.
+ */
+
+static struct pb_evacuation *
+find_evacuation(struct pb_registry *registry, struct pb_str domain)
+{
+	size_t i;
+
+	for (i = 0; i < registry->evacuation_count; i++) {
+		if (pb_str_equal_c(domain, registry->evacuations[i].domain))
+			return &registry->evacuations[i];
+	}
+	return NULL;
+}
+
+/* Returns true if the state of the instance has changed. */
+static bool
+set_evacuated(const struct pb_registry *registry, struct pb_instance *inst)
+{
+	bool before = inst->evacuated;
+	size_t i;
+
+	inst->evacuated = false;
+	for (i = 0; i < registry->evacuation_count; i++) {
+		if (strcmp(inst->domain, registry->evacuations[i].domain) == 0)
+			inst->evacuated = true;
+	}
+	return inst->evacuated != before;
+}
+
+/*
+ * Applies the evacuations to all instances. An evacuation usually ends because
+ * its instances were restarted, and they may not have reported yet that they
+ * are cold.
+ */
+static void
+apply_evacuations(struct pb_context *ctx, struct pb_registry *registry)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		struct pb_instance *inst = registry->instances[i];
+
+		if (!set_evacuated(registry, inst))
+			continue;
+		if (inst->evacuated)
+			pb_notify_closed(registry, inst);
+		else
+			pb_suspect_cold(ctx, inst);
+	}
+	/* Tells the routers that follow this one. */
+	registry->sequence++;
+}
+
+static void
+start_evacuation(
+    struct pb_context *ctx, struct pb_registry *registry, struct pb_str domain)
+{
+	struct pb_evacuation *e =
+	    &registry->evacuations[registry->evacuation_count];
+
+	if (registry->evacuation_count == EVACUATIONS_MAX ||
+	    domain.len >= sizeof(e->domain)) {
+		pb_log(ctx, PB_ERROR, "evacuate", NULL, NULL,
+		    "evacuation of domain %.*s ignored: the name is too long "
+		    "or %d domains are evacuated already",
+		    (int)domain.len, domain.data, EVACUATIONS_MAX);
+		return;
+	}
+	registry->evacuation_count++;
+	memcpy(e->domain, domain.data, domain.len);
+	e->domain[domain.len] = '\0';
+	e->since_us = pb_now(ctx);
+	e->listed = true;
+	pb_log(ctx, PB_INFO, "evacuate", NULL, NULL,
+	    "domain %s is evacuated; its instances get no new requests",
+	    e->domain);
+	apply_evacuations(ctx, registry);
+}
+
+static void
+end_evacuation(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_evacuation *e)
+{
+	pb_log(ctx, PB_INFO, "evacuate", NULL, NULL,
+	    "evacuation of domain %s ended after %lld ms", e->domain,
+	    (long long)((pb_now(ctx) - e->since_us) / PB_MSEC));
+	*e = registry->evacuations[--registry->evacuation_count];
+	apply_evacuations(ctx, registry);
+}
+
+void
+pb_note_evacuation(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_str domain, bool active, int64_t version)
+{
+	struct pb_evacuation *e = find_evacuation(registry, domain);
+
+	if (e != NULL && active)
+		e->listed = true;
+	if ((e != NULL) == active)
+		return;
+	/* A watch that resumes delivers older changes once more. */
+	if (version != 0 && version <= registry->evacuations_version)
+		return;
+	if (active)
+		start_evacuation(ctx, registry, domain);
+	else
+		end_evacuation(ctx, registry, e);
+}
+
+void
+pb_begin_evacuations(struct pb_registry *registry)
+{
+	size_t i;
+
+	for (i = 0; i < registry->evacuation_count; i++)
+		registry->evacuations[i].listed = false;
+}
+
+void
+pb_end_evacuations(struct pb_context *ctx, struct pb_registry *registry)
+{
+	size_t i;
+
+	for (i = registry->evacuation_count; i-- > 0;) {
+		if (!registry->evacuations[i].listed)
+			end_evacuation(
+			    ctx, registry, &registry->evacuations[i]);
+	}
+}
+
+void
+pb_note_evacuations_version(struct pb_registry *registry, int64_t version)
+{
+	if (version > registry->evacuations_version)
+		registry->evacuations_version = version;
+}
+
+int64_t
+pb_evacuations_version(const struct pb_registry *registry)
+{
+	return registry->evacuations_version;
+}
+
+const struct pb_evacuation *
+pb_read_evacuations(const struct pb_registry *registry, size_t *count)
+{
+	*count = registry->evacuation_count;
+	return registry->evacuations;
+}
+
+static const struct service *
+find_service(const struct pb_registry *registry, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < registry->service_count; i++) {
+		if (strcmp(name, registry->services[i].name) == 0)
+			return &registry->services[i];
+	}
+	return NULL;
+}
+
+void
+pb_apply_operator_state(
+    const struct pb_registry *registry, struct pb_instance *instance)
+{
+	const struct service *s = find_service(registry, instance->service);
+
+	set_evacuated(registry, instance);
+	instance->cold_start_us = s != NULL ? s->cold_start_us : 0;
+	instance->cold_per_s = s != NULL ? s->cold_per_s : 0;
+}
+
+int
+pb_set_services(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_service *services, size_t count)
+{
+	struct service *copy = calloc(count + 1, sizeof(*copy));
+	size_t i;
+
+	if (copy == NULL)
+		return pb_set_error(
+		    ctx, PB_ENOMEM, "apply services", NULL, "out of memory");
+	for (i = 0; i < count; i++) {
+		snprintf(copy[i].name, sizeof(copy[i].name), "%.*s",
+		    (int)services[i].name.len, services[i].name.data);
+		copy[i].cold_start_us = services[i].cold_start_us;
+		copy[i].cold_per_s = services[i].cold_per_s;
+	}
+	free(registry->services);
+	registry->services = copy;
+	registry->service_count = count;
+	for (i = 0; i < registry->count; i++)
+		pb_apply_operator_state(registry, registry->instances[i]);
+	return PB_OK;
+}
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -19,6 +19,16 @@
 	uint64_t sequence;
 };
 
+/* Limit of the evacuations that are known at the same time. */
+#define EVACUATIONS_MAX 64
+
+/* Copy of the configuration of one service. */
+struct service {
+	char name[PB_INSTANCE_TEXT];
+	int64_t cold_start_us;
+	double cold_per_s;
+};
+
 struct pb_registry {
 	const struct pb_registry_ops *ops;
 	void *owner;
@@ -39,6 +49,17 @@
 	struct pb_lru *leaving;
 	/* Incarnations that have asked for a pause -> its end. */
 	struct pb_lru *paused;
+	struct pb_evacuation evacuations[EVACUATIONS_MAX];
+	size_t evacuation_count;
+	int64_t evacuations_version; /* of the store; 0: none known yet */
+	struct service *services;
+	size_t service_count;
+	uint64_t *routers; /* hashes of all routers, the own one first */
+	size_t router_count;
+	int64_t routers_version; /* of the store; 0: no routers known yet */
+	int64_t running_us; /* last call of pb_note_running; 0: none */
+	/* End of a suspension after which the list was not renewed; 0: none. */
+	int64_t resumed_us;
 };
 
 /* Reports that the instance takes no new requests. */
@@ -70,6 +91,21 @@
     struct pb_str service, struct pb_instance *const *excluded,
     size_t excluded_count, int64_t now);
 
+/* Sets what depends on the instance's domain and service. */
+void pb_apply_operator_state(
+    const struct pb_registry *registry, struct pb_instance *instance);
+/* Limits the requests to the instance as if it had just started. */
+void pb_suspect_cold(struct pb_context *ctx, struct pb_instance *instance);
+/* Sets the time that the instance reports to be cold for. */
+void pb_set_cold_left(
+    struct pb_context *ctx, struct pb_instance *instance, int64_t cold_left_us);
+/*
+ * Returns false if the instance is cold, or was until recently, and this router
+ * may not send it a request now.
+ */
+bool pb_has_cold_room(const struct pb_registry *registry,
+    struct pb_instance *instance, int64_t now);
+
 /*
  * Returns true if the attempts of this router or of its failure domain show too
  * many failures.
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -9,6 +9,8 @@
  * those that asked for a pause.
  */
 #define SELF_REPORTS_MAX 4096
+/* Each report states the end of the cold time a little differently. */
+#define COLD_TOLERANCE_US (300 * PB_MSEC)
 
 struct pb_registry *
 pb_new_registry(
@@ -90,6 +92,8 @@
 	pb_drop_lru(ctx, registry->leaving);
 	pb_drop_lru(ctx, registry->paused);
 	free(registry->instances);
+	free(registry->services);
+	free(registry->routers);
 	free(registry);
 }
 
@@ -184,13 +188,31 @@
 	return inst;
 }
 
+/*
+ * An entry that is read again still states the time that was left when it was
+ * written, so that it counts only once. Returns true if the end of the cold
+ * time has moved, so that other routers must learn of it.
+ */
+static bool
+update_cold(struct pb_context *ctx, struct pb_instance *inst,
+    const struct pb_instance_entry *e)
+{
+	int64_t now = pb_now(ctx);
+	int64_t before = inst->cold_until_us > now ? inst->cold_until_us : now;
+	int64_t moved = now + e->cold_left_us - before;
+
+	pb_set_cold_left(ctx, inst, e->cold_left_us);
+	return moved > COLD_TOLERANCE_US || moved < -COLD_TOLERANCE_US;
+}
+
 /*
  * Copies the fields that may change during the lifetime of a process, except
  * draining. Returns true if any of them or draining changed, or if the instance
  * is new.
  */
 static bool
-update_instance(struct pb_instance *inst, const struct pb_instance_entry *e)
+update_instance(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_instance *inst, const struct pb_instance_entry *e)
 {
 	bool same = inst->sequence != 0 &&
 	    pb_str_equal_c(e->domain, inst->domain) &&
@@ -198,6 +220,10 @@
 	    inst->draining == e->draining;
 
 	copy_text(inst->domain, e->domain);
+	pb_apply_operator_state(registry, inst);
+	if (e->row_version == 0 || e->row_version != inst->row_version)
+		same = !update_cold(ctx, inst, e) && same;
+	inst->row_version = e->row_version;
 	inst->slots = e->slots;
 	inst->started_ms = e->started_ms;
 	inst->remove_at_us = 0;
@@ -257,7 +283,7 @@
 	if (inst == NULL)
 		return pb_set_error(
 		    ctx, PB_ENOMEM, "list instances", NULL, "out of memory");
-	if (update_instance(inst, entry))
+	if (update_instance(ctx, registry, inst, entry))
 		inst->sequence = ++registry->sequence;
 	pb_restore_self_report(ctx, registry, inst);
 	if (entry->draining && !inst->draining) {
--- a/source/registry/registry-load.c
+++ b/source/registry/registry-load.c
@@ -83,6 +83,7 @@
 void
 pb_note_unreachable(struct pb_context *ctx, struct pb_instance *instance)
 {
+	instance->unreached = true;
 	pb_note_unreachable_for(ctx, instance, AVOID_US);
 }
 
--- a/source/registry/registry-selfreport.c
+++ b/source/registry/registry-selfreport.c
@@ -112,7 +112,8 @@
 bool
 pb_is_open(const struct pb_instance *instance, int64_t now, bool last_resort)
 {
-	if (instance->draining || pb_is_paused(instance, now))
+	if (instance->draining || instance->evacuated ||
+	    pb_is_paused(instance, now))
 		return false;
 	return !instance->leaving ||
 	    (last_resort && now - instance->leaving_us < LEAVING_GRACE_US);
@@ -138,7 +139,7 @@
 	for (i = 0; i < registry->count; i++) {
 		const struct pb_instance *inst = registry->instances[i];
 		bool skip = inst->draining || inst->leaving ||
-		    !pb_is_paused(inst, now) ||
+		    inst->evacuated || !pb_is_paused(inst, now) ||
 		    !pb_str_equal_c(service, inst->service);
 
 		for (k = 0; k < excluded_count; k++)
