--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -71,6 +71,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -770,6 +771,8 @@
 		free(b);
 		return 2;
 	}
+	/* The peer may close a connection while it is written to. */
+	signal(SIGPIPE, SIG_IGN);
 	b->base = event_base_new();
 	b->id = argv[2];
 	b->action = argv[3];
--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -37,6 +37,7 @@
 #include <event2/keyvalq_struct.h>
 #include <jansson.h>
 #include <sodium.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -666,6 +667,8 @@
 		free(s);
 		return 2;
 	}
+	/* The peer may close a connection while it is written to. */
+	signal(SIGPIPE, SIG_IGN);
 	s->base = event_base_new();
 	if (listen_at(s, argv[1], on_request) == NULL ||
 	    (argc == 3 && listen_at(s, argv[2], on_second_request) == NULL)) {
