Limit interim responses and discarded responses of an upstream

Cause: an upstream that sends interim responses without end kept the router parsing until the route's timeout. gateway-endless failed beside load: its 100 such requests ended 4.2 to 4.5 s after their start instead of within 4 s, with a route timeout of 3 s.

Change: more than 64 interim responses to a call, or more than 1 MiB of responses to other requests, break the connection as invalid HTTP.

--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -153,6 +153,8 @@
 	bool reading; /* a callback of the reader may be running */
 	bool drop_pending; /* to be dropped when reading ends */
 	bool skipping; /* discards a response that belongs to no call */
+	size_t discarded; /* bytes of responses to other requests */
+	int interim_count; /* interim responses to the call */
 	bool not_reusable; /* closed after the current call */
 	bool reused; /* was idle before the current call */
 	bool no_body; /* a HEAD request: its response has no body */
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -8,6 +8,12 @@
 
 #define HEAD_MAX 32768 /* bytes */
 #define BODY_MAX (16 << 20) /* bytes of one response */
+/*
+ * Limits of what is discarded for one call, because an instance may send it
+ * without end: interim responses, and bytes of responses to other requests.
+ */
+#define INTERIM_MAX 64
+#define DISCARDED_MAX (1 << 20)
 #define COPY_MAX                                                    \
 	16384 /* bytes of a request body that are copied to send it \
 	       */
@@ -176,6 +182,21 @@
 	call->ops->done(call);
 }
 
+static bool
+is_interim(const struct pb_http_reader *reader)
+{
+	return reader->complete && reader->head.status < 200;
+}
+
+/* Counts n bytes of the response that was just read, if it is discarded. */
+static void
+count_discarded(struct pb_link *link, size_t n)
+{
+	if (link->skipping)
+		link->discarded += n;
+	link->interim_count += is_interim(&link->reader);
+}
+
 /*
  * Passes received bytes to the HTTP reader. Returns false if none are left or
  * the link was dropped or became idle.
@@ -198,13 +219,16 @@
 		return false;
 	}
 	evbuffer_drain(in, n);
-	if (link->reader.error != PB_HTTP_OK) {
+	count_discarded(link, n);
+	if (link->reader.error != PB_HTTP_OK ||
+	    link->discarded > DISCARDED_MAX ||
+	    link->interim_count > INTERIM_MAX) {
 		fail_link(link, PB_LINK_PROTOCOL);
 		return false;
 	}
 	if (!link->reader.complete)
 		return true;
-	if (link->skipping || link->reader.head.status < 200) {
+	if (link->skipping || is_interim(&link->reader)) {
 		link->skipping = false;
 		pb_reset_http_reader(&link->reader);
 		link->reader.no_body = link->no_body;
@@ -343,6 +367,8 @@
 
 	link->call = call;
 	call->link = link;
+	link->discarded = 0;
+	link->interim_count = 0;
 	link->no_body = head.len > n && memcmp(head.data, method, n) == 0;
 	link->reader.no_body = link->no_body;
 	if (bufferevent_write(link->bev, head.data, head.len) != 0 ||
--- a/tests/scripts/gateway-endless.sh
+++ b/tests/scripts/gateway-endless.sh
@@ -47,7 +47,10 @@
 flood endless-body /safe
 flood endless-event /tale
 flood endless-event /flow
+begin=$(now_ms)
 flood endless-interim /once
+# Interim responses are limited, so it ends long before the route's timeout.
+echo "limited: $(check_range 0 2500 $(($(now_ms) - begin)) ms)"
 flood endless-extension /once
 flood endless-trailer /once
 flood endless-other /once
