Bound the load of instances by those in use while others are idle

Cause: while a third of a service is evacuated and other instances are cold, the rest carries 1.5 times the mean of the service and more.

Change: if more than a fifth of a service is idle, the bound comes from the mean of the instances in use, at most 2.2 times the mean of the service, and each request draws a bound down to half of it. Otherwise nothing changes. The quota of a cold instance counts for 1.1 s instead of 1.25 s.

--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -1,6 +1,7 @@
 #include "registry-internal.h"
 
 #include <float.h>
+#include <math.h>
 
 /*
  * A request goes to the preferred instance of its prefix if the load there
@@ -9,6 +10,20 @@
 #define AFFINITY_FACTOR 1.5
 /* Requests above the multiple that are not treated as imbalance. */
 #define AFFINITY_SLACK 3.0
+/*
+ * If more than this share of a service is idle, because it is evacuated or
+ * cold, the others carry more than the mean of the service. A bound from that
+ * mean alone would close most of them, and all routers would send to the few
+ * that are left. The bound then is the lower one of these multiples.
+ */
+#define IDLE_SHARE 0.2
+#define BUSY_FACTOR 1.3 /* of the mean load of the instances in use */
+#define IDLE_FACTOR 2.2 /* of the mean load of the whole service */
+/*
+ * Each request then gets a bound that is lower by up to this fraction, so that
+ * routers with the same reports do not fill the same instance at once.
+ */
+#define BOUND_SPREAD 0.5
 /* Cost of a hop to another failure domain, in requests of load. */
 #define DOMAIN_PENALTY 1.5
 /*
@@ -177,10 +192,43 @@
 	return pb_hash_pair(p->affinity, inst->hash);
 }
 
-/* Returns the preferred instance of a prefix with a load below the bound. */
+/* The load up to which the preferred instance of a prefix is selected. */
+struct load_bound {
+	double max;
+	double spread; /* the bound of one request is lower by up to this */
+};
+
+/*
+ * The limit for the load of an instance refers to the mean over the whole
+ * service, so evacuated and cold instances count although they are idle.
+ */
+static struct load_bound
+find_load_bound(const struct service_stats *s)
+{
+	double all = (double)(s->candidates + s->evacuated);
+	double idle = (double)(s->evacuated + s->cold_left);
+	double mean = all > 0 ? s->sum / all : 0;
+	struct load_bound b = {AFFINITY_FACTOR * mean + AFFINITY_SLACK, 0};
+
+	if (idle <= IDLE_SHARE * all || idle >= all)
+		return b;
+	b.max = AFFINITY_SLACK +
+	    fmin(BUSY_FACTOR * s->sum / (all - idle), IDLE_FACTOR * mean);
+	b.spread = BOUND_SPREAD * b.max;
+	return b;
+}
+
+static double
+draw_bound(const struct load_bound *b, struct pb_random *rnd)
+{
+	return b->spread > 0 ? b->max - b->spread * pb_next_uniform(rnd)
+			     : b->max;
+}
+
+/* Returns the preferred instance of a prefix with a load below its bound. */
 static struct pb_instance *
 choose_by_prefix(const struct pb_registry *reg, const struct search *s,
-    enum health required, double bound)
+    enum health required, const struct load_bound *bound)
 {
 	const struct pb_placement *p = s->p;
 	struct pb_instance *best = NULL;
@@ -194,7 +242,8 @@
 		if (!is_candidate(s, inst) || is_excluded(p, inst) ||
 		    !has_health(inst, required, s->now))
 			continue;
-		if (estimate_load(inst, s->now) + 1 > bound ||
+		if (estimate_load(inst, s->now) + 1 >
+			draw_bound(bound, p->rnd) ||
 		    !has_room(s, inst))
 			continue;
 		score = prefix_score(p, inst);
@@ -280,20 +329,6 @@
 	return collect_service_stats(reg, search);
 }
 
-/*
- * Returns the load up to which the preferred instance of a prefix is selected.
- * The limit for the load of an instance refers to the mean over the whole
- * service, so evacuated instances count although they are idle.
- */
-static double
-find_load_bound(const struct service_stats *s)
-{
-	size_t n = s->candidates + s->evacuated;
-
-	return AFFINITY_FACTOR * (n > 0 ? s->sum / (double)n : 0) +
-	    AFFINITY_SLACK;
-}
-
 /* Sets when a request for which no instance was selected may find one. */
 static void
 set_full(const struct pb_registry *reg, const struct search *search,
@@ -318,13 +353,13 @@
 	struct search search = {registry, placement, pb_now(ctx), false};
 	struct service_stats s = begin_search(registry, &search);
 	double mean = s.candidates > 0 ? s.sum / (double)s.candidates : 0;
-	double bound = find_load_bound(&s);
+	struct load_bound bound = find_load_bound(&s);
 	enum health required = choose_required_health(&s, placement->rnd);
 	struct pb_instance *inst = NULL;
 
 	*facts = (struct pb_placement_facts){.report_age_us = -1};
 	if (placement->affinity != 0)
-		inst = choose_by_prefix(registry, &search, required, bound);
+		inst = choose_by_prefix(registry, &search, required, &bound);
 	facts->preferred = inst != NULL;
 	if (inst == NULL)
 		inst = choose_by_load(registry, &search, required);
--- a/source/registry/registry-cold.c
+++ b/source/registry/registry-cold.c
@@ -15,7 +15,7 @@
  * The limit applies to each second at the instance. The window is longer
  * because a request may be sent late, when its connection is established.
  */
-#define WINDOW_US (1250 * PB_MSEC)
+#define WINDOW_US (1100 * PB_MSEC)
 /* Requests per window that each sender may send to a cold instance. */
 #define SENDER_QUOTA 2
 /* After the cold time, the senders double at this interval. */
