Ask other routers for known crashes before a starting router serves

Cause: a router that starts again without a router to follow was told of a crashing prompt part only by the regular reports of others. If one of these reports, or a poll, met it while it was down, the sender avoids it for 2 s (AVOID_ROUTER_US) or 5 s (AVOID_US), and it runs a request with the part meanwhile.

Change: a router that starts to read the store asks up to 6 others for the crashes that they know (GET /crashes, answered with a domain_report; changes.x is unchanged). It is not ready and refuses requests until one has answered, all have failed, or 500 ms have passed. A router that follows another one has the crashes from its first poll, as before. Routers that are themselves starting refuse the question, so that a fleet that starts does not wait.

--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -141,6 +141,7 @@
 	gw->follower = pb_new_follower(gw);
 	gw->announcer = pb_new_announcer(gw);
 	gw->stream_reporter = pb_new_stream_reporter(gw);
+	gw->crash_fetch = pb_new_crash_fetch(gw);
 	/*
 	 * The configuration and the list of instances can be large, and another
 	 * router may already have them, so these two watches start paused.
@@ -149,8 +150,9 @@
 	gw->instance_watch = pb_new_watch(gw, &pb_instance_watch_ops, true);
 	gw->router_watch = pb_new_watch(gw, &pb_router_watch_ops, false);
 	if (gw->follower == NULL || gw->announcer == NULL ||
-	    gw->stream_reporter == NULL || gw->routing_watch == NULL ||
-	    gw->instance_watch == NULL || gw->router_watch == NULL)
+	    gw->stream_reporter == NULL || gw->crash_fetch == NULL ||
+	    gw->routing_watch == NULL || gw->instance_watch == NULL ||
+	    gw->router_watch == NULL)
 		return pb_set_error(
 		    gw->ctx, PB_ENOMEM, "start", NULL, "out of memory");
 	return PB_OK;
@@ -243,6 +245,7 @@
 	drop_listener(gw->metrics_listener);
 	drop_listener(gw->peer_listener);
 	pb_drop_stream_reporter(gw->stream_reporter);
+	pb_drop_crash_fetch(gw->crash_fetch);
 	pb_drop_follower(gw->follower);
 	gw->follower = NULL;
 	pb_drop_announcer(gw->announcer);
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -121,6 +121,7 @@
 	f->reads_store_too = false;
 	pb_resume_watch(f->gw->routing_watch);
 	pb_resume_watch(f->gw->instance_watch);
+	pb_fetch_crashes(f->gw->crash_fetch);
 }
 
 static void
@@ -209,6 +210,7 @@
 	struct pb_gateway *gw = f->gw;
 
 	pb_apply_changes(gw, a, f->sent_us);
+	pb_end_crash_fetch(gw->crash_fetch);
 	f->reports_since = a->clock;
 	f->epoch = a->epoch;
 	f->since = a->sequence;
@@ -590,6 +592,9 @@
 		pb_start_announcer(follower->gw->announcer);
 		follower->first_start = true;
 	}
+	follower->routers.listed = true;
+	if (!follower->starting)
+		pb_fetch_crashes(follower->gw->crash_fetch);
 	if (!follower->starting || follower->awaiting_rows ||
 	    follower->peer != NULL || poll_first_peer(follower))
 		return;
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -111,6 +111,7 @@
 struct pb_router_list {
 	struct pb_router *first;
 	size_t count;
+	bool listed; /* a listing has been read from the store */
 	/* The store has this router's row with its current address. */
 	bool has_own_row;
 };
@@ -220,4 +221,26 @@
 void pb_apply_crashes(struct pb_gateway *gw, const struct crash_report *reports,
     unsigned int count);
 
+/*
+ * gateway-crashes.c: at startup, asks other routers for the crashes that they
+ * know.
+ */
+#define PB_CRASHES_PATH "/crashes"
+struct pb_crash_fetch *pb_new_crash_fetch(struct pb_gateway *gw);
+void pb_drop_crash_fetch(struct pb_crash_fetch *fetch);
+/*
+ * Asks some of the known routers unless any were asked before. Call when this
+ * router starts to read the store, and when it has listed the routers.
+ */
+void pb_fetch_crashes(struct pb_crash_fetch *fetch);
+/* Call when the crashes were received from the followed router. */
+void pb_end_crash_fetch(struct pb_crash_fetch *fetch);
+/*
+ * Returns true if this router has received what others know, or if no other
+ * router has answered in time. It serves no requests before that.
+ */
+bool pb_knows_crashes(const struct pb_crash_fetch *fetch);
+/* Answers such a question of another router. */
+void pb_send_crashes(struct pb_conn *conn);
+
 #endif
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -21,6 +21,7 @@
 struct pb_follower;
 struct pb_announcer;
 struct pb_stream_reporter;
+struct pb_crash_fetch;
 
 TAILQ_HEAD(pb_conn_list, pb_conn);
 TAILQ_HEAD(pb_exchange_list, pb_exchange);
@@ -76,6 +77,7 @@
 	struct pb_follower *follower;
 	struct pb_announcer *announcer;
 	struct pb_stream_reporter *stream_reporter;
+	struct pb_crash_fetch *crash_fetch;
 	/*
 	 * When the configuration and the list of instances were last known to
 	 * be current; 0: never.
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -271,6 +271,10 @@
 	struct pb_str target = pb_http_target(&conn->reader.head);
 	struct change_question q;
 
+	if (pb_str_equal_c(target, PB_CRASHES_PATH)) {
+		pb_send_crashes(conn);
+		return;
+	}
 	if (!is_up_to_date(gw)) {
 		refuse_request(conn);
 		return;
--- a/source/gateway/gateway-ready.c
+++ b/source/gateway/gateway-ready.c
@@ -12,7 +12,7 @@
 	int64_t age = pb_now(gw->ctx) - gw->routing_fresh_us;
 
 	return gw->stop_us == 0 && gw->routing != NULL &&
-	    gw->instances_fresh_us != 0 &&
+	    gw->instances_fresh_us != 0 && pb_knows_crashes(gw->crash_fetch) &&
 	    (gw->settings.strict_revoke == 0 || age < pb_routing_age_ready(gw));
 }
 
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -295,6 +295,10 @@
 		reject(conn, &req, 503, "no configuration has been loaded yet");
 		return;
 	}
+	if (!pb_knows_crashes(gw->crash_fetch)) {
+		reject(conn, &req, 503, "other routers were not heard yet");
+		return;
+	}
 	route = pb_find_route(gw->routing, req.host, target);
 	if (route == NULL) {
 		reject(conn, &req, 404, "no route matches host and target");
