Give an upstream that joins the next chat without a location

Cause of late first work in leaving.sh: an upstream that comes back starts with the weight 0, which rises over ramp (10 s). Chats that return stay where they ran last, and rendezvous hashing gives the upstream few of the new ones, so it may get none for seconds although it is live and idle.

Change: an upstream that joined or came back, and has had no work since, gets the next chat without a location if it can carry it. Its weight then rises as before. The reason "joined" is shown in the events.

The new case in test-placement fails without the change.

--- a/source/placement/placement-choose.c
+++ b/source/placement/placement-choose.c
@@ -97,6 +97,24 @@
 	return upstream != NULL ? pb_find_slot(pl, *upstream) : -1;
 }
 
+/*
+ * Finds an upstream that joined and has had no work since. Its weight is near 0
+ * at first, so that rendezvous hashing might give it no chat for seconds. After
+ * the first one, its share of the chats rises with its weight.
+ */
+static int
+find_unused(const struct pb_placement *pl, const struct load_view *v,
+    const struct requirement *req)
+{
+	int i;
+
+	for (i = 0; i < pl->count; i++) {
+		if (pl->slots[i].awaits_work && is_eligible(pl, v, i, req, 1))
+			return i;
+	}
+	return -1;
+}
+
 /*
  * Returns the load limit, as a multiple of the mean, for placing a chat on its
  * first (n = 0) or second (n = 1) rendezvous choice. A chat without a location
@@ -130,6 +148,11 @@
 			pl->last_choice = PB_CHOICE_LOCATION;
 			return slot;
 		}
+		slot = find_unused(pl, &v, &req);
+		if (slot >= 0) {
+			pl->last_choice = PB_CHOICE_UNUSED;
+			return slot;
+		}
 		rank_slots(pl, &v, chat, choice);
 		for (i = 0; i < 2; i++) {
 			if (choice[i] >= 0 &&
@@ -154,7 +177,8 @@
 pb_choice_name(enum pb_choice choice)
 {
 	static const char *const names[] = {"none", "last location",
-	    "first choice", "second choice", "least loaded", "resumed"};
+	    "first choice", "second choice", "least loaded", "resumed",
+	    "joined"};
 
 	return names[choice];
 }
@@ -186,6 +210,7 @@
 
 	pb_sample_slot(ctx, s);
 	s->charged += work;
+	s->awaits_work = false;
 	if (chat != 0)
 		pb_set_lru(pl->locations, chat, s->info.id);
 }
--- a/source/placement/placement-internal.h
+++ b/source/placement/placement-internal.h
@@ -22,6 +22,7 @@
 	struct pb_upstream_info info;
 	bool used;
 	int64_t joined_us;
+	bool awaits_work; /* joined lately; no work was charged since */
 	int64_t hold_until_us; /* gets no new work before this time */
 	bool down; /* does not count as live before hold_until_us */
 	uint64_t charged; /* total work charged in this incarnation */
--- a/source/placement/placement-load.c
+++ b/source/placement/placement-load.c
@@ -106,8 +106,8 @@
 	 * A new owner sees all upstreams of its cell for the first time during
 	 * cautious mode. They did not just join and get full weight at once.
 	 */
-	s->joined_us =
-	    now < pl->cautious_until_us ? now - pl->policy.ramp_us : now;
+	s->awaits_work = now >= pl->cautious_until_us;
+	s->joined_us = s->awaits_work ? now : now - pl->policy.ramp_us;
 }
 
 int
@@ -140,8 +140,10 @@
 		    s->info.state != PB_UP_LIVE && info->state == PB_UP_LIVE;
 
 		s->info = *info;
-		if (back)
+		if (back) {
 			s->joined_us = pb_now(ctx);
+			s->awaits_work = true;
+		}
 	}
 	return PB_OK;
 }
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -161,6 +161,44 @@
 	pb_drop_placement(ctx, pl);
 }
 
+/* Places one chat whose work ends at once; returns the upstream. */
+static uint64_t
+run_chat(struct pb_placement *pl, uint64_t chat)
+{
+	uint64_t up = place(pl, chat, 1);
+
+	pb_release_upstream(
+	    ctx, pl, up, pb_slot_incarnation(pl, pb_find_slot(pl, up)), 1);
+	return up;
+}
+
+/*
+ * Guards against an upstream that comes back and stays without work for
+ * seconds, because its weight is near 0 at first; and against more than one
+ * chat at once. Load: new chats, none of the two other upstreams at its bound.
+ */
+static void
+test_first_work(void)
+{
+	struct pb_placement *pl = new_cell(3);
+	uint64_t chat = 1, home = run_chat(pl, chat), back = home % 3 + 1;
+	uint64_t cycle;
+	int i, on_back;
+
+	for (cycle = 2; cycle < 20; cycle++) {
+		set(pl, back, cycle, 1, PB_UP_EJECTED);
+		pb_advance_clock(&clk, 4 * PB_SEC);
+		set(pl, back, cycle, 1, PB_UP_LIVE);
+		/* A chat with a location stays there. */
+		CU_ASSERT_EQUAL(run_chat(pl, 1), home);
+		CU_ASSERT_EQUAL(run_chat(pl, ++chat), back);
+		for (i = 0, on_back = 0; i < 20; i++)
+			on_back += run_chat(pl, ++chat) == back;
+		CU_ASSERT_EQUAL(on_back, 0);
+	}
+	pb_drop_placement(ctx, pl);
+}
+
 /*
  * Guards against a new owner that treats upstreams as idle while they still run
  * work of the previous owner, and against that work counting after it ended.
@@ -317,7 +355,8 @@
 	static CU_TestInfo tests[] = {{"bound", test_bound},
 	    {"throttle", test_throttle}, {"moves", test_moves},
 	    {"displaced", test_displaced}, {"ramp", test_ramp},
-	    {"takeover", test_takeover}, {"adopted", test_resumed_work},
+	    {"first work", test_first_work}, {"takeover", test_takeover},
+	    {"adopted", test_resumed_work},
 	    {"room for returning", test_room_for_returning},
 	    {"incarnation", test_incarnation}, {"slots", test_slots},
 	    {"location table", test_lru}, CU_TEST_INFO_NULL};
