Keep the period of periodic work when wakeups are late

Cause: router_sleep slept in slices of 20 ms and counted each as 20 ms. An engine that had restarted was then taken for the old one for longer, and got work before its damping time was applied.

Change: pb_sleep_unless sleeps until a point in time.

The new case in test-base simulates wakeups that are 4 ms late each; counting slices makes it 1.2 s.

--- a/include/poplarbeam/base.h
+++ b/include/poplarbeam/base.h
@@ -142,6 +142,13 @@
 /* Returns the clock of the operating system. */
 struct pb_clock *pb_system_clock(void);
 
+/*
+ * Sleeps for us microseconds, or until shortly after *stop is set. The thread
+ * wakes up several times in between, and late wakeups do not add up.
+ */
+void pb_sleep_unless(
+    struct pb_clock *clock, int64_t us, const _Atomic int *stop);
+
 /* A clock for tests, which changes only when it is advanced. */
 struct pb_manual_clock {
 	struct pb_clock base;
--- a/source/base/base-clock.c
+++ b/source/base/base-clock.c
@@ -1,7 +1,10 @@
 #include "poplarbeam/base.h"
 
+#include <stdatomic.h>
 #include <time.h>
 
+#define SLEEP_SLICE (20 * PB_MSEC) /* between checks for a stop */
+
 static int64_t
 read_clock(clockid_t id)
 {
@@ -48,6 +51,19 @@
 	return &clock;
 }
 
+void
+pb_sleep_unless(struct pb_clock *clock, int64_t us, const _Atomic int *stop)
+{
+	int64_t end = clock->ops->now(clock) + us;
+	int64_t left = us;
+
+	while (left > 0 && !atomic_load(stop)) {
+		clock->ops->sleep(
+		    clock, left < SLEEP_SLICE ? left : SLEEP_SLICE);
+		left = end - clock->ops->now(clock);
+	}
+}
+
 static int64_t
 manual_now(struct pb_clock *clock)
 {
--- a/source/router/router-start.c
+++ b/source/router/router-start.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 
 #define PLATFORM_TIMEOUT (2 * PB_SEC) /* for one call to the platform */
-#define SLEEP_SLICE (20 * PB_MSEC) /* between checks for a stop */
 /* Time until the balancer and the peers send new requests elsewhere. */
 #define LEAVING_NOTICE (2 * PB_SEC)
 #define DRAIN_TIMEOUT_DEFAULT (60 * PB_SEC)
@@ -12,14 +11,7 @@
 bool
 router_sleep(struct pb_router *r, int64_t us)
 {
-	struct pb_clock *clock = r->node->clock;
-
-	while (us > 0 && !atomic_load(&r->stopping)) {
-		int64_t slice = us < SLEEP_SLICE ? us : SLEEP_SLICE;
-
-		clock->ops->sleep(clock, slice);
-		us -= slice;
-	}
+	pb_sleep_unless(r->node->clock, us, &r->stopping);
 	return !atomic_load(&r->stopping);
 }
 
--- a/tests/test-base.c
+++ b/tests/test-base.c
@@ -116,13 +116,40 @@
 	pb_clear_buf(&out);
 }
 
+static void
+sleep_late(struct pb_clock *clock, int64_t us)
+{
+	pb_advance_clock((struct pb_manual_clock *)clock, us + 4 * PB_MSEC);
+}
+
+/*
+ * Guards against periodic work that runs late on a busy machine because the
+ * delays of all wakeups during a sleep add up. Load: each wakeup is 4 ms late.
+ */
+static void
+test_late_wakeups(void)
+{
+	struct pb_clock_ops ops = *clk.base.ops;
+	struct pb_manual_clock late = {{&ops}, 0, 0};
+	_Atomic int stop = 0;
+
+	ops.sleep = sleep_late;
+	pb_sleep_unless(&late.base, PB_SEC, &stop);
+	CU_ASSERT(late.now_us >= PB_SEC);
+	CU_ASSERT(late.now_us < PB_SEC + 30 * PB_MSEC);
+	stop = 1;
+	pb_sleep_unless(&late.base, PB_SEC, &stop);
+	CU_ASSERT(late.now_us < PB_SEC + 30 * PB_MSEC);
+}
+
 int
 main(void)
 {
 	static CU_TestInfo tests[] = {{"arena blocks", test_arena_blocks},
 	    {"rendezvous weight", test_rendezvous_weight},
 	    {"log escapes", test_log_escapes},
-	    {"error fields", test_error_fields}, {"deflate", test_deflate},
+	    {"error fields", test_error_fields},
+	    {"late wakeups", test_late_wakeups}, {"deflate", test_deflate},
 	    CU_TEST_INFO_NULL};
 	int rc;
 
