Tell routers of evacuations that ended, and limit the ramp by quota

Cause: a router that was frozen for a whole evacuation never learned of it: the answer to its poll has the present list only, which was empty before and after, and a removed row of an evacuation that it did not know was ignored.

Change: answers name the evacuations that ended within 10 s and the age of their ends; a removed row that is newer than the known version counts as an end. After the cold time the sum over all routers doubles at each step, by more senders and then by a higher quota.

Measured: new cases in test-cold; both fail on the code before (by reading: it has no such function, and no quota after the first steps).

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -215,6 +215,22 @@
 const struct pb_evacuation *pb_read_evacuations(
     const struct pb_registry *registry, size_t *count);
 
+/* An evacuation that ended lately. */
+struct pb_evacuation_end {
+	char domain[PB_INSTANCE_TEXT];
+	int64_t end_us;
+};
+
+/*
+ * Records that an evacuation has ended, which this router may not have known
+ * of: the instances of the domain may be cold.
+ */
+void pb_note_evacuation_end(
+    struct pb_registry *registry, struct pb_str domain, int64_t end_us);
+/* Sets the evacuations that ended lately, and returns their number. */
+size_t pb_read_evacuation_ends(struct pb_context *ctx,
+    struct pb_registry *registry, const struct pb_evacuation_end **ends);
+
 /* Applies the configuration of the services to all their instances. */
 int pb_set_services(struct pb_context *ctx, struct pb_registry *registry,
     const struct pb_service *services, size_t count);
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -75,6 +75,12 @@
 };
 typedef struct domain_report domain_report;
 
+struct evacuation_end {
+	change_text domain;
+	u_int age_ms;
+};
+typedef struct evacuation_end evacuation_end;
+
 struct change_question {
 	u_quad_t epoch;
 	u_quad_t since;
@@ -135,6 +141,10 @@
 		u_int evacuated_len;
 		change_text *evacuated_val;
 	} evacuated;
+	struct {
+		u_int ended_len;
+		evacuation_end *ended_val;
+	} ended;
 	quad_t routers_row;
 	struct {
 		u_int routers_len;
@@ -159,6 +169,7 @@
 extern  bool_t xdr_stream_report (XDR *, stream_report*);
 extern  bool_t xdr_crash_report (XDR *, crash_report*);
 extern  bool_t xdr_domain_report (XDR *, domain_report*);
+extern  bool_t xdr_evacuation_end (XDR *, evacuation_end*);
 extern  bool_t xdr_change_question (XDR *, change_question*);
 extern  bool_t xdr_change_answer (XDR *, change_answer*);
 extern  bool_t xdr_router_row (XDR *, router_row*);
@@ -171,6 +182,7 @@
 extern bool_t xdr_stream_report ();
 extern bool_t xdr_crash_report ();
 extern bool_t xdr_domain_report ();
+extern bool_t xdr_evacuation_end ();
 extern bool_t xdr_change_question ();
 extern bool_t xdr_change_answer ();
 extern bool_t xdr_router_row ();
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -59,6 +59,12 @@
 	crash_report crashes<CRASHES_MAX>;
 };
 
+/* An evacuation of a failure domain that ended lately. */
+struct evacuation_end {
+	change_text domain;
+	unsigned int age_ms;	/* since its end, milliseconds */
+};
+
 /* A poll: asks another router for the changes after a sequence. */
 struct change_question {
 	unsigned hyper epoch;	/* of the last answer; 0: none yet */
@@ -94,6 +100,7 @@
 	crash_report crashes<CRASHES_MAX>; /* known to the answering router */
 	hyper evacuations_row;	/* store version of the evacuated domains */
 	change_text evacuated<EVACUATED_MAX>; /* failure domains */
+	evacuation_end ended<EVACUATED_MAX>;
 	hyper routers_row;	/* store version of the list of routers */
 	/* Hashes of all routers; empty if the polling router knows them. */
 	unsigned hyper routers<ROUTERS_MAX>;
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -107,6 +107,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_evacuation_end (XDR *xdrs, evacuation_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_change_text (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_change_question (XDR *xdrs, change_question *objp)
 {
@@ -180,6 +192,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->evacuated.evacuated_val, (u_int *) &objp->evacuated.evacuated_len, EVACUATED_MAX,
 		sizeof (change_text), (xdrproc_t) xdr_change_text))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ended.ended_val, (u_int *) &objp->ended.ended_len, EVACUATED_MAX,
+		sizeof (evacuation_end), (xdrproc_t) xdr_evacuation_end))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->routers_row))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->routers.routers_val, (u_int *) &objp->routers.routers_len, ROUTERS_MAX,
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -57,6 +57,22 @@
 		    (u_int)((inst->cold_until_us - now) / PB_MSEC);
 }
 
+static void
+fill_evacuation_ends(
+    struct pb_gateway *gw, struct change_answer *answer, evacuation_end *ends)
+{
+	const struct pb_evacuation_end *list;
+	size_t i, n = pb_read_evacuation_ends(gw->ctx, gw->registry, &list);
+
+	for (i = 0; i < n && i < EVACUATED_MAX; i++) {
+		ends[i].domain = (char *)list[i].domain;
+		ends[i].age_ms =
+		    (u_int)((pb_now(gw->ctx) - list[i].end_us) / PB_MSEC);
+	}
+	answer->ended.ended_val = ends;
+	answer->ended.ended_len = (u_int)i;
+}
+
 /* names: room for EVACUATED_MAX pointers. */
 static void
 fill_evacuations(
@@ -143,6 +159,7 @@
 	struct stream_report streams[STREAMS_MAX];
 	struct crash_report crashes[CRASHES_MAX];
 	change_text evacuated[EVACUATED_MAX];
+	evacuation_end ended[EVACUATED_MAX];
 	uint64_t *routers;
 	struct pb_instance_change *changes;
 	size_t i, n;
@@ -167,6 +184,7 @@
 	answer.crashes.crashes_val = crashes;
 	answer.crashes.crashes_len = pb_fill_crashes(gw, crashes);
 	fill_evacuations(gw, &answer, evacuated);
+	fill_evacuation_ends(gw, &answer, ended);
 	routers = fill_routers(gw, q, &answer);
 	n = pb_read_changes(gw->registry, since, answer.full, NULL, 0);
 	changes = calloc(n + 1, sizeof(*changes));
--- a/source/gateway/gateway-reports.c
+++ b/source/gateway/gateway-reports.c
@@ -161,6 +161,12 @@
 	int64_t version = answer->evacuations_row;
 	u_int i;
 
+	for (i = 0; i < answer->ended.ended_len; i++) {
+		const struct evacuation_end *e = &answer->ended.ended_val[i];
+
+		pb_note_evacuation_end(gw->registry, pb_str_from(e->domain),
+		    pb_now(gw->ctx) - e->age_ms * PB_MSEC);
+	}
 	if (version < pb_evacuations_version(gw->registry))
 		return;
 	pb_begin_evacuations(gw->registry);
--- a/source/registry/registry-cold.c
+++ b/source/registry/registry-cold.c
@@ -18,9 +18,12 @@
 #define WINDOW_US (1100 * PB_MSEC)
 /* Requests per window that each sender may send to a cold instance. */
 #define SENDER_QUOTA 2
-/* After the cold time, the senders double at this interval. */
+/*
+ * After the cold time, the requests of all routers together double at this
+ * interval, first by more senders and then by a higher quota.
+ */
 #define RAMP_STEP_US (250 * PB_MSEC)
-/* Number of steps after which every router may send. */
+/* Number of steps after which requests are not limited. */
 #define RAMP_STEPS_MAX 12
 /* A process that has not run for this long was suspended. */
 #define SUSPENSION_MIN_US PB_SEC
@@ -89,17 +92,22 @@
 						: registry->router_count;
 }
 
-/* Returns the requests that each sender may send within a window. */
+/* More requests within a window than are recorded cannot be counted. */
 static size_t
-find_quota(const struct pb_instance *inst, size_t senders)
+limit_quota(size_t quota)
 {
-	size_t quota = (size_t)(inst->cold_per_s / (double)senders);
-
 	if (quota < 1)
 		return 1;
 	return quota < PB_SENDS_KEPT ? quota : PB_SENDS_KEPT;
 }
 
+/* Returns the requests that each sender may send within a window. */
+static size_t
+find_quota(const struct pb_instance *inst, size_t senders)
+{
+	return limit_quota((size_t)(inst->cold_per_s / (double)senders));
+}
+
 static size_t
 count_recent_sends(const struct pb_instance *inst, int64_t now)
 {
@@ -131,7 +139,7 @@
 pb_has_cold_room(const struct pb_registry *registry,
     struct pb_instance *instance, int64_t now)
 {
-	size_t senders;
+	size_t senders, total;
 	unsigned int steps;
 
 	if (instance->cold_start_us <= 0 || instance->cold_per_s <= 0)
@@ -143,10 +151,12 @@
 	if (registry->routers_version == 0)
 		return false;
 	senders = count_senders(registry, instance);
-	if (senders << steps >= registry->router_count && steps > 0)
-		return true;
-	return get_sender_rank(registry, instance) < senders << steps &&
-	    count_recent_sends(instance, now) < find_quota(instance, senders);
+	total = (senders * find_quota(instance, senders)) << steps;
+	senders <<= steps;
+	if (senders > registry->router_count)
+		senders = registry->router_count;
+	return get_sender_rank(registry, instance) < senders &&
+	    count_recent_sends(instance, now) < limit_quota(total / senders);
 }
 
 void
@@ -170,11 +180,12 @@
 }
 
 void
-pb_suspect_cold(struct pb_context *ctx, struct pb_instance *instance)
+pb_suspect_cold(struct pb_instance *instance, int64_t start_us)
 {
-	if (instance->cold_start_us > 0)
-		instance->suspect_until_us =
-		    pb_now(ctx) + instance->cold_start_us;
+	int64_t until = start_us + instance->cold_start_us;
+
+	if (instance->cold_start_us > 0 && until > instance->suspect_until_us)
+		instance->suspect_until_us = until;
 }
 
 void
@@ -183,7 +194,7 @@
 	if (!instance->unreached)
 		return;
 	instance->unreached = false;
-	pb_suspect_cold(ctx, instance);
+	pb_suspect_cold(instance, pb_now(ctx));
 }
 
 int
--- a/source/registry/registry-evacuation.c
+++ b/source/registry/registry-evacuation.c
@@ -5,9 +5,16 @@
 
 /*
  * Failure domains that the operator evacuates: their instances take no
- * requests until the operator ends the evacuation.
+ * requests until the operator ends the evacuation. After that they are usually
+ * cold, and may not have reported it yet.
  */
 
+/*
+ * Routers that were suspended or cut off during an evacuation learn of its end
+ * from others for this long.
+ */
+#define END_KEPT_US (10 * PB_SEC)
+
 static struct pb_evacuation *
 find_evacuation(struct pb_registry *registry, struct pb_str domain)
 {
@@ -35,25 +42,17 @@
 	return inst->evacuated != before;
 }
 
-/*
- * Applies the evacuations to all instances. An evacuation usually ends because
- * its instances were restarted, and they may not have reported yet that they
- * are cold.
- */
+/* Applies the evacuations to all instances. */
 static void
-apply_evacuations(struct pb_context *ctx, struct pb_registry *registry)
+apply_evacuations(struct pb_registry *registry)
 {
 	size_t i;
 
 	for (i = 0; i < registry->count; i++) {
 		struct pb_instance *inst = registry->instances[i];
 
-		if (!set_evacuated(registry, inst))
-			continue;
-		if (inst->evacuated)
+		if (set_evacuated(registry, inst) && inst->evacuated)
 			pb_notify_closed(registry, inst);
-		else
-			pb_suspect_cold(ctx, inst);
 	}
 	/* Tells the routers that follow this one. */
 	registry->sequence++;
@@ -82,7 +81,7 @@
 	pb_log(ctx, PB_INFO, "evacuate", NULL, NULL,
 	    "domain %s is evacuated; its instances get no new requests",
 	    e->domain);
-	apply_evacuations(ctx, registry);
+	apply_evacuations(registry);
 }
 
 static void
@@ -92,8 +91,50 @@
 	pb_log(ctx, PB_INFO, "evacuate", NULL, NULL,
 	    "evacuation of domain %s ended after %lld ms", e->domain,
 	    (long long)((pb_now(ctx) - e->since_us) / PB_MSEC));
+	pb_note_evacuation_end(registry, pb_str_from(e->domain), pb_now(ctx));
 	*e = registry->evacuations[--registry->evacuation_count];
-	apply_evacuations(ctx, registry);
+	apply_evacuations(registry);
+}
+
+void
+pb_note_evacuation_end(
+    struct pb_registry *registry, struct pb_str domain, int64_t end_us)
+{
+	size_t i;
+
+	for (i = 0; i < registry->count; i++) {
+		struct pb_instance *inst = registry->instances[i];
+
+		if (pb_str_equal_c(domain, inst->domain))
+			pb_suspect_cold(inst, end_us);
+	}
+	for (i = 0; i < registry->ended_count; i++) {
+		if (pb_str_equal_c(domain, registry->ended[i].domain))
+			break;
+	}
+	if (i == EVACUATIONS_MAX || domain.len >= PB_INSTANCE_TEXT)
+		return;
+	registry->ended_count += i == registry->ended_count;
+	memcpy(registry->ended[i].domain, domain.data, domain.len);
+	registry->ended[i].domain[domain.len] = '\0';
+	if (end_us > registry->ended[i].end_us)
+		registry->ended[i].end_us = end_us;
+}
+
+size_t
+pb_read_evacuation_ends(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_evacuation_end **ends)
+{
+	int64_t now = pb_now(ctx);
+	size_t i;
+
+	for (i = registry->ended_count; i-- > 0;) {
+		if (now - registry->ended[i].end_us > END_KEPT_US)
+			registry->ended[i] =
+			    registry->ended[--registry->ended_count];
+	}
+	*ends = registry->ended;
+	return registry->ended_count;
 }
 
 void
@@ -102,17 +143,19 @@
 {
 	struct pb_evacuation *e = find_evacuation(registry, domain);
 
-	if (e != NULL && active)
+	if (e != NULL && active) {
 		e->listed = true;
-	if ((e != NULL) == active)
 		return;
+	}
 	/* A watch that resumes delivers older changes once more. */
 	if (version != 0 && version <= registry->evacuations_version)
 		return;
 	if (active)
 		start_evacuation(ctx, registry, domain);
-	else
+	else if (e != NULL)
 		end_evacuation(ctx, registry, e);
+	else /* It began and ended without this router noticing. */
+		pb_note_evacuation_end(registry, domain, pb_now(ctx));
 }
 
 void
--- a/source/registry/registry-internal.h
+++ b/source/registry/registry-internal.h
@@ -51,6 +51,8 @@
 	struct pb_lru *paused;
 	struct pb_evacuation evacuations[EVACUATIONS_MAX];
 	size_t evacuation_count;
+	struct pb_evacuation_end ended[EVACUATIONS_MAX];
+	size_t ended_count;
 	int64_t evacuations_version; /* of the store; 0: none known yet */
 	struct service *services;
 	size_t service_count;
@@ -94,8 +96,8 @@
 /* Sets what depends on the instance's domain and service. */
 void pb_apply_operator_state(
     const struct pb_registry *registry, struct pb_instance *instance);
-/* Limits the requests to the instance as if it had just started. */
-void pb_suspect_cold(struct pb_context *ctx, struct pb_instance *instance);
+/* Limits the requests to the instance as if it had started at start_us. */
+void pb_suspect_cold(struct pb_instance *instance, int64_t start_us);
 /* Sets the time that the instance reports to be cold for. */
 void pb_set_cold_left(
     struct pb_context *ctx, struct pb_instance *instance, int64_t cold_left_us);
--- a/tests/test-cold.c
+++ b/tests/test-cold.c
@@ -462,6 +462,52 @@
 	drop_fleet(f);
 }
 
+/*
+ * Guards against full load for a domain whose evacuation this router has missed
+ * as a whole, because it was suspended: it learns only of the end, from the
+ * store or from another router.
+ */
+static void
+test_missed_evacuation(void)
+{
+	struct fleet *f = new_fleet(1);
+	struct pb_registry *reg = f->routers[0];
+	const struct pb_evacuation_end *ends;
+	int64_t now = pb_now(f->ctx);
+
+	evacuate(f, "b", false, 11);
+	CU_ASSERT_EQUAL(pb_count_cold(f->ctx, reg).instances, INSTANCES / 3);
+	pb_note_evacuation_end(reg, pb_str_from("c"), now - PB_SEC);
+	CU_ASSERT_EQUAL(
+	    pb_count_cold(f->ctx, reg).instances, 2 * INSTANCES / 3);
+	CU_ASSERT_EQUAL(pb_read_evacuation_ends(f->ctx, reg, &ends), 2);
+	/* Repeated reports do not prolong it. */
+	pb_advance_clock(&f->clk, COLD_US - PB_SEC);
+	pb_note_evacuation_end(reg, pb_str_from("c"), now - PB_SEC);
+	CU_ASSERT_EQUAL(pb_count_cold(f->ctx, reg).instances, INSTANCES / 3);
+	pb_advance_clock(&f->clk, 20 * PB_SEC);
+	CU_ASSERT_EQUAL(pb_read_evacuation_ends(f->ctx, reg, &ends), 0);
+	drop_fleet(f);
+}
+
+/*
+ * Guards against a burst after the cold time in a small fleet, in which all
+ * routers are senders soon. Load: 6 routers that each send as much as they may.
+ */
+static void
+test_ramp_of_small_fleet(void)
+{
+	struct fleet *f = new_fleet(6);
+	int64_t at;
+
+	restart_all(f, 2, COLD_US);
+	pb_advance_clock(&f->clk, COLD_US);
+	at = pb_now(f->ctx);
+	play(f, 500 * PB_MSEC, 1000);
+	CU_ASSERT(find_peak_of_all(f, at) <= 2 * LIMIT);
+	drop_fleet(f);
+}
+
 /*
  * Guards against a change that is delivered again after a watch has resumed and
  * that reverts a newer one, and against an evacuation that a listing no longer
@@ -515,6 +561,8 @@
 	    {"suspended router", test_suspended_router},
 	    {"never cold", test_never_cold}, {"evacuation", test_evacuation},
 	    {"end of evacuation", test_end_of_evacuation},
+	    {"missed evacuation", test_missed_evacuation},
+	    {"ramp of a small fleet", test_ramp_of_small_fleet},
 	    {"replayed evacuation", test_replayed_evacuation},
 	    {"evacuation sequence", test_evacuation_sequence},
 	    CU_TEST_INFO_NULL};
