Split the log and the filler from the back end stand-in

It also dropped arrivals and runs above 4,096 without a word, so that a count over a longer test could be too low and the test pass. The log is now a file of its own and grows; out of memory ends the process. /arrivals also names the instance from which a request is to fetch its prompt prefix.

--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -26,9 +26,10 @@
  *   torn-error, torn-full, torn-page, torn-unsealed, torn-again
  *             like torn, but a request that resumes the stream gets a failure
  *             with a digest, a refusal, a complete response that is no stream,
- * a stream without a digest or the whole stream again open      like stream,
- * but without a length or chunks, and closes open-torn like torn, but without a
- * length or chunks open-none sends the head of such a stream and closes
+ *             a stream without a digest or the whole stream again
+ *   open      like stream, but without a length or chunks, and closes
+ *   open-torn like torn, but without a length or chunks
+ *   open-none sends the head of such a stream and closes
  *   preempt-full, preempt-room, preempt-mute, preempt-hang
  *             like stream, but silent for 2.2 s before event 5; a request that
  *             resumes the stream is refused, is served, gets no response and
@@ -56,14 +57,16 @@
  * "GET /say-leaving" adds the header Server-Leaving to all later responses.
  * "GET /say-pause/TEXT" makes it reject all later requests with status 503, the
  * header Retry-After with this text, and Not-Executed; "GET /say-pause/" ends
- * that. "GET /arrivals" lists the id and the time of arrival in Unix
- * milliseconds of every request.
+ * that. "GET /arrivals" lists the id, the time of arrival in Unix milliseconds
+ * and the value of the header Kv-Fetch, or "-", of every request.
  *
  * "GET /runs/REQUEST-ID" returns how often a request was executed, "GET
  * /all-runs" lists the id, the count and the time of the last execution in Unix
  * milliseconds of every request, and "GET /cancelled" returns the number of
  * requests whose connection was closed before they completed.
  */
+#include "backend-filler.h"
+#include "backend-log.h"
 #include "poplarbeam/http.h"
 
 #include <event2/buffer.h>
@@ -73,30 +76,17 @@
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
-#define RUNS_MAX 4096
 #define EVENTS_PER_STREAM 10
 #define PREEMPTION_MS 2200
-#define FILLER_BYTES 16384
 #define LARGE_BODY_BYTES (192 * FILLER_BYTES)
 #define BODY_PREFIX "answer of "
-#define INTERIM_RESPONSE "HTTP/1.1 102 X\r\nX-Fill: 0123456789abcdef\r\n\r\n"
-
-struct run {
-	char id[64];
-	int count;
-	long long last_ms;
-};
 
 struct backend {
 	struct event_base *base;
 	const char *id;
 	const char *action; /* of all requests; NULL: taken from the path */
-	struct run runs[RUNS_MAX];
-	size_t run_count;
-	struct run arrivals[RUNS_MAX]; /* executed or not */
-	size_t arrival_count;
+	struct backend_log *log;
 	bool leaving; /* says so in all responses */
 	char pause[64]; /* Retry-After of all responses; empty: none */
 	int running; /* requests in progress */
@@ -143,46 +133,6 @@
 	snprintf(out, cap, "%.*s", (int)v.len, v.len > 0 ? v.data : "");
 }
 
-static long long
-wall_ms(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_REALTIME, &ts);
-	return (long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
-}
-
-static void
-record_run(struct backend *b, const char *id)
-{
-	size_t i;
-
-	for (i = 0; i < b->run_count; i++) {
-		if (strcmp(b->runs[i].id, id) == 0)
-			break;
-	}
-	if (i == RUNS_MAX)
-		return;
-	if (i == b->run_count) {
-		pb_copy_str(b->runs[i].id, sizeof(b->runs[i].id), id);
-		b->run_count++;
-	}
-	b->runs[i].count++;
-	b->runs[i].last_ms = wall_ms();
-}
-
-static int
-count_runs(const struct backend *b, const char *id)
-{
-	size_t i;
-
-	for (i = 0; i < b->run_count; i++) {
-		if (strcmp(b->runs[i].id, id) == 0)
-			return b->runs[i].count;
-	}
-	return 0;
-}
-
 static void
 send_response_head(
     struct conn *c, int status, const char *request_id, bool sealed)
@@ -246,24 +196,6 @@
 	return strcmp(c->action, action) == 0;
 }
 
-static void
-send_filler(struct conn *c)
-{
-	struct evbuffer *out = bufferevent_get_output(c->bev);
-	char filler[FILLER_BYTES];
-
-	memset(filler, 'x', sizeof(filler));
-	if (is_action(c, "endless-interim")) {
-		evbuffer_add_printf(out, INTERIM_RESPONSE);
-		return;
-	}
-	if (is_action(c, "endless-event"))
-		evbuffer_add_printf(out, "%x\r\n", FILLER_BYTES);
-	evbuffer_add(out, filler, sizeof(filler));
-	if (is_action(c, "endless-event"))
-		evbuffer_add_printf(out, "\r\n");
-}
-
 static void
 start_endless(struct conn *c)
 {
@@ -290,7 +222,7 @@
 		evbuffer_add_printf(out,
 		    "Content-Type: text/event-stream\r\n"
 		    "Transfer-Encoding: chunked\r\n\r\n");
-	send_filler(c);
+	add_filler(out, c->action);
 }
 
 static void
@@ -300,7 +232,7 @@
 
 	(void)bev;
 	if (c->endless)
-		send_filler(c);
+		add_filler(bufferevent_get_output(c->bev), c->action);
 }
 
 static void
@@ -313,7 +245,7 @@
 	evbuffer_add_printf(
 	    out, "Content-Length: %d\r\n\r\n", LARGE_BODY_BYTES);
 	for (sent = 0; sent < LARGE_BODY_BYTES; sent += FILLER_BYTES)
-		send_filler(c);
+		add_filler(bufferevent_get_output(c->bev), c->action);
 	end_request(c);
 }
 
@@ -490,13 +422,6 @@
 	close_after_flush(c);
 }
 
-static bool
-sends_half_head(const struct conn *c)
-{
-	return is_action(c, "half-head") || is_action(c, "half-line") ||
-	    is_action(c, "half-framed");
-}
-
 static void
 perform_action(struct conn *c)
 {
@@ -513,7 +438,7 @@
 		send_large(c);
 	} else if (strncmp(c->action, "endless-", 8) == 0) {
 		start_endless(c);
-	} else if (sends_half_head(c)) {
+	} else if (strncmp(c->action, "half-", 5) == 0) {
 		send_half_head(c);
 	} else if (is_action(c, "mute")) {
 		close_after_flush(c);
@@ -558,38 +483,6 @@
 		perform_action(c);
 }
 
-static void
-append_runs(const struct backend *b, struct pb_buf *text)
-{
-	size_t i;
-
-	for (i = 0; i < b->run_count; i++)
-		pb_append_fmt(text, "%s %d %lld\n", b->runs[i].id,
-		    b->runs[i].count, b->runs[i].last_ms);
-}
-
-static void
-append_arrivals(const struct backend *b, struct pb_buf *text)
-{
-	size_t i;
-
-	for (i = 0; i < b->arrival_count; i++)
-		pb_append_fmt(text, "%s %lld\n", b->arrivals[i].id,
-		    b->arrivals[i].last_ms);
-}
-
-static void
-record_arrival(struct backend *b, const char *id)
-{
-	struct run *r = &b->arrivals[b->arrival_count];
-
-	if (b->arrival_count == RUNS_MAX)
-		return;
-	pb_copy_str(r->id, sizeof(r->id), id);
-	r->last_ms = wall_ms();
-	b->arrival_count++;
-}
-
 /* Serves the queries of tests; returns false for other targets. */
 static bool
 serve_test_query(struct conn *c, const char *target)
@@ -597,21 +490,14 @@
 	struct evbuffer *out = bufferevent_get_output(c->bev);
 	struct pb_buf text = {0};
 
-	if (strncmp(target, "/runs/", 6) == 0)
-		pb_append_fmt(
-		    &text, "%d\n", count_runs(c->backend, target + 6));
-	else if (strcmp(target, "/all-runs") == 0)
-		append_runs(c->backend, &text);
-	else if (strcmp(target, "/arrivals") == 0)
-		append_arrivals(c->backend, &text);
-	else if (strcmp(target, "/say-leaving") == 0)
+	if (strcmp(target, "/say-leaving") == 0)
 		c->backend->leaving = true;
 	else if (strncmp(target, "/say-pause/", 11) == 0)
 		pb_copy_str(
 		    c->backend->pause, sizeof(c->backend->pause), target + 11);
 	else if (strcmp(target, "/cancelled") == 0)
 		pb_append_fmt(&text, "%d\n", c->backend->cancelled);
-	else
+	else if (!backend_log_answer(c->backend->log, target, &text))
 		return false;
 	evbuffer_add_printf(out,
 	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", text.len,
@@ -648,7 +534,7 @@
 {
 	const struct pb_http_head *h = &c->reader.head;
 	struct pb_str t = pb_http_target(h);
-	char target[256], last_event_id[32];
+	char target[256], last_event_id[32], holder[64];
 	const char *slash, *query;
 
 	snprintf(target, sizeof(target), "%.*s", (int)t.len, t.data);
@@ -669,7 +555,8 @@
 		read_next_request(c);
 		return;
 	}
-	record_arrival(c->backend, c->request_id);
+	copy_field(h, "Kv-Fetch", holder, sizeof(holder));
+	backend_log_add_arrival(c->backend->log, c->request_id, holder);
 	copy_field(h, "Last-Event-Id", last_event_id, sizeof(last_event_id));
 	c->resuming = last_event_id[0] != '\0';
 	if (c->backend->pause[0] != '\0' || is_action(c, "full") ||
@@ -684,7 +571,7 @@
 	if (is_action(c, "refusal-unnamed"))
 		refuse(c, NULL);
 	if (!is_action(c, "queued"))
-		record_run(c->backend, c->request_id);
+		backend_log_add_run(c->backend->log, c->request_id);
 	if (has_crashing_part(h)) {
 		send_response_head(c, 200, c->request_id, true);
 		evbuffer_write(
@@ -770,6 +657,7 @@
 		free(b);
 		return 2;
 	}
+	b->log = backend_log_new();
 	b->base = event_base_new();
 	b->id = argv[2];
 	b->action = argv[3];
@@ -781,6 +669,7 @@
 	if (listener == NULL) {
 		fprintf(
 		    stderr, "pb-backend: cannot listen on port %s\n", argv[1]);
+		backend_log_free(b->log);
 		free(b);
 		return 1;
 	}
