--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -34,13 +34,17 @@
 
 delete_row() { curl -sf -m 5 -X DELETE "$store_url/control/row/$1/$2"; }
 
+# backend_zone N: prints the failure domain in the entry of back end N. Scripts
+# redefine it to use several.
+backend_zone() { echo a; }
+
 # backend_entry N SERVICE [STATE] [SEQUENCE]: BORN is the Unix millisecond of
-# the back end's start.
+# the back end's start, COLD_LEFT_MS the rest of its cold time.
 backend_entry() {
-	printf '{"service":"%s","address":"127.0.0.1:%s","zone":"a",' "$2" \
-	    "$(announced_port "$1")"
-	printf '"version":"v1","slots":8,"state":"%s","cold-left-ms":0,' \
-	    "${3:-ready}"
+	printf '{"service":"%s","address":"127.0.0.1:%s","zone":"%s",' "$2" \
+	    "$(announced_port "$1")" "$(backend_zone "$1")"
+	printf '"version":"v1","slots":8,"state":"%s","cold-left-ms":%s,' \
+	    "${3:-ready}" "${COLD_LEFT_MS:-0}"
 	printf '"sequence":%s,"born":%s}' "${4:-1}" "${BORN:-1700000000000}"
 }
 
@@ -80,6 +84,13 @@
 	printf '"sticky":false,"resumable":%s}' "$5"
 }
 
+# cold_limits: prints the members of a service for COLD_START_S and COLD_PER_S,
+# as far as they are set.
+cold_limits() {
+	[ -n "${COLD_START_S:-}" ] && printf ',"cold-start-s":%s' "$COLD_START_S"
+	[ -n "${COLD_PER_S:-}" ] && printf ',"cold-per-s":%s' "$COLD_PER_S"
+}
+
 # config_text VERSION [KEY[","KEY]]: prints a configuration with the routes
 # that the scripts use and EXTRA_ROUTES further ones. BODY_LIMIT is the largest
 # request body in bytes.
@@ -98,7 +109,8 @@
 	printf ,
 	route tale /tale/ streaming 2 false
 	printf '],"services":[{"name":"app","health-path":"/health",'
-	printf '"max-conns":100}],"limits":{"max-header-bytes":4096,'
+	printf '"max-conns":100%s}],"limits":{"max-header-bytes":4096,' \
+	    "$(cold_limits)"
 	printf '"max-body-bytes":%s,' "${BODY_LIMIT:-65536}"
 	printf '"header-timeout-ms":1000,'
 	printf '"idle-timeout-ms":15000},"tenants":[{"name":"a",'
@@ -108,6 +120,10 @@
 # apply_config VERSION [KEY[","KEY]]
 apply_config() { config_text "$@" | put_row op config; }
 
+# evacuate ZONE, end_evacuation ZONE: add and delete the operator's row.
+evacuate() { printf '{}' | put_row op "evacuate/$1"; }
+end_evacuation() { delete_row op "evacuate/$1"; }
+
 # start_gateway N [LINE...]: starts gateway N in the failure domain DOMAIN
 # (default a), with further lines in its settings file.
 start_gateway() {
@@ -145,6 +161,96 @@
 	echo
 }
 
+# gateway_metric N NAME: prints the value of a gauge of gateway N.
+gateway_metric() {
+	curl -sf -m 5 "http://127.0.0.1:$(metrics_port "$1")/" |
+	    awk -v n="poplarbeam_$2" '$1 == n {print $2}'
+}
+
+# metric_is NAME VALUE N...: true if the gauge has this value at each gateway.
+metric_is() {
+	local name=$1 value=$2 n
+	shift 2
+	for n in "$@"; do
+		[ "$(gateway_metric "$n" "$name")" = "$value" ] || return 1
+	done
+}
+
+# arrivals_between N FROM TO: prints the requests that reached back end N
+# between these Unix milliseconds, one in a line.
+arrivals_between() {
+	curl -sf -m 5 "http://127.0.0.1:$(backend_port "$1")/arrivals" |
+	    awk -v from="$2" -v to="$3" '$2 >= from && $2 < to'
+}
+
+# max_arrivals_per_s N FROM TO: prints the largest number of requests that
+# reached back end N within any second between these times.
+max_arrivals_per_s() {
+	arrivals_between "$@" | awk '{
+		t[NR] = $2
+		while (t[NR] - t[first + 1] >= 1000)
+			first++
+		if (NR - first > most)
+			most = NR - first
+	} END {print most + 0}'
+}
+
+# pace_requests NAME MS INTERVAL-S ROUTERS PATH...: for this time, sends a
+# request every INTERVAL-S to the routers ("1 2 3") and paths in turn. Every
+# fifth one has a prompt prefix. Writes the id, the path, the status and the
+# time taken of each to outcomes-NAME, and waits for all.
+pace_requests() {
+	local name=$1 interval=$3 i=0 pids="" end
+	local routers=($4)
+	end=$(($(now_ms) + $2))
+	shift 4
+	local paths=("$@")
+	while [ "$(now_ms)" -lt $end ]; do
+		request_outcome "${routers[i % ${#routers[@]}]}" "$name-$i" \
+		    "${paths[i % ${#paths[@]}]}" $((i % 5)) \
+		    >>"$FLEET_DIR/outcomes-$name" &
+		pids="$pids $!"
+		i=$((i + 1))
+		sleep "$interval"
+	done
+	wait $pids
+}
+
+# request_outcome ROUTER ID PATH PART: sends a request and prints its id, path,
+# status and time. PART is 0 for a request with a prompt prefix.
+request_outcome() {
+	local prefix=()
+	[ "${4:-1}" = 0 ] && prefix=(-H "X-Poplarbeam-Prompt-Prefix: \
+p$((RANDOM % 8)):2000,q$RANDOM:100")
+	curl -s -m 12 -o /dev/null -H "Host: $route_host" \
+	    -H "X-Poplarbeam-Attempt-Id: $2" \
+	    -H "Authorization: Bearer $account_key" "${prefix[@]}" -d x \
+	    -w "$2 $3 %{http_code}%{exitcode} %{time_total}\n" \
+	    "$(gateway_url "$1")$3"
+}
+
+# run_ids: prints the ids of all requests that the back ends have run.
+run_ids() {
+	local n
+	for n in $(seq "${BACKENDS:-2}"); do
+		curl -sf -m 5 "http://127.0.0.1:$(backend_port "$n")/all-runs"
+	done | awk '{print $1}'
+}
+
+# judge_outcomes FILE...: prints how the requests ended: the statuses other than
+# 200 and 503, and 503 for a request that has run, which are failures.
+judge_outcomes() {
+	run_ids >"$FLEET_DIR/run-ids"
+	note "outcomes: $(cat "$@" | awk '{print $3}' | sort | uniq -c | xargs)"
+	cat "$@" | awk -v ids="$FLEET_DIR/run-ids" '
+	    BEGIN {while ((getline id < ids) > 0) ran[id] = 1}
+	    $3 == "2000" {served++; next}
+	    $3 == "5030" && !ran[$1] {refused++; next}
+	    {print "failed: " $0}
+	    END {if (served == 0) print "none served"
+		print "others served, or refused and not run"}'
+}
+
 # count_runs ID: prints how often all back ends together ran the request.
 count_runs() {
 	local n sum=0 one
