--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -74,6 +74,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -658,6 +659,8 @@
 		return 2;
 	}
 	b->log = backend_log_new();
+	/* The peer may close a connection while it is written to. */
+	signal(SIGPIPE, SIG_IGN);
 	b->base = event_base_new();
 	b->id = argv[2];
 	b->action = argv[3];
