Let requests wait in the test of cold instances

The latency objective of 150 ms let requests wait for 75 ms only, so that none waited when a cold time ended. The objective is now a variable of the library. The steady load was so high that the bound after the cold time was within its scatter (12 a second for each instance of 16); it is lower, and bursts make the pressure. A router that was frozen during a whole evacuation gets a burst after it woke up.

--- a/tests/lib/gateway-lib.sh
+++ b/tests/lib/gateway-lib.sh
@@ -74,12 +74,13 @@
 	announce_backend "$1" "$2"
 }
 
-# route NAME PREFIX KIND ATTEMPTS RESUMABLE [TIMEOUT-MS]
+# route NAME PREFIX KIND ATTEMPTS RESUMABLE [TIMEOUT-MS]: TARGET_MS is the latency
+# objective.
 route() {
 	printf '{"name":"%s","host":"%s","prefix":"%s","kind":"%s",' "$1" \
 	    "$route_host" "$2" "$3"
-	printf '"timeout-ms":%s,"target-latency-ms":150,"priority":%s,' \
-	    "${6:-3000}" "${PRIORITY:-1}"
+	printf '"timeout-ms":%s,"target-latency-ms":%s,"priority":%s,' \
+	    "${6:-3000}" "${TARGET_MS:-150}" "${PRIORITY:-1}"
 	printf '"service":"app","max-attempts":%s,"public":false,' "$4"
 	printf '"sticky":false,"resumable":%s}' "$5"
 }
--- a/tests/scripts/gateway-cold.sh
+++ b/tests/scripts/gateway-cold.sh
@@ -12,6 +12,7 @@
 BACKENDS=4
 COLD_START_S=3
 COLD_PER_S=4
+TARGET_MS=3000 # requests wait for half of it
 cold_ms=3000
 cold_max=11 # in any second while cold: 1.5 x 4 + 5
 after_max=16 # in any second just after the cold time: 4 x 4
@@ -21,14 +22,19 @@
 
 # begin_traffic NAME SECONDS: steady requests to all routers in the background.
 begin_traffic() {
-	pace_requests "$1" "$2" 2 "$routers" /safe/ok?work=200 \
+	pace_requests "$1" "$2" 1 "$routers" /safe/ok?work=200 \
 	    /once/ok?work=200 /flow/stream?work=20 &
 	traffic=$!
 }
-# begin_burst NAME: ten requests to each router at once.
+# begin_burst NAME [COUNT [ROUTERS]]: so many requests at once, by default ten to
+# each router.
 begin_burst() {
-	send_burst "$1" 60 "$routers" /once/ok?work=200 &
-	burst=$!
+	send_burst "$1" "${2:-60}" "${3:-$routers}" /once/ok?work=200 &
+	bursts="$bursts $!"
+}
+end_traffic() {
+	wait $traffic $bursts
+	bursts=
 }
 # return_cold FIRST: back ends FIRST to 4 come back as other incarnations.
 return_cold() {
@@ -87,7 +93,7 @@
 begin_burst back-burst
 await 1 metric_is instances_cold 3 $routers && echo "three are cold"
 echo "routers assigned to them: $(sum_metric instances_cold_assigned)"
-wait $traffic $burst
+end_traffic
 check_cold "come back" "$from" 2
 metric_is instances_cold 0 $routers && echo "none is cold"
 
@@ -99,7 +105,7 @@
 end_evacuation b
 begin_burst taken-back-burst
 await 1 metric_is instances_cold 3 $routers && echo "three are cold"
-wait $traffic $burst
+end_traffic
 check_cold "taken back" "$from" 2
 
 # All back ends come back cold while a router is frozen, so that requests wait at
@@ -114,16 +120,22 @@
 sleep 1
 from=$(now_ms)
 return_cold 1
+begin_burst frozen-waiting 30 $first
+sleep 0.4
 begin_burst frozen-burst
-sleep 1
+sleep 0.6
 kill -CONT "$(pid_of g$first)"
-wait $traffic $burst
+# These wait until the cold time ends.
+sleep 1.2
+begin_burst frozen-late 12
+end_traffic
 check_cold "router frozen" "$from" 1
 
 # Two routers are frozen when an evacuation ends, one of them since before it.
 begin_traffic evacuated 6
 sleep 0.3
 kill -STOP "$(pid_of g$first)"
+sleep 0.3 # it has polled and has no answer about the evacuation
 evacuate b
 sleep 0.7
 kill -STOP "$(pid_of g$second)"
@@ -131,9 +143,12 @@
 from=$(now_ms)
 end_evacuation b
 begin_burst evacuated-burst
+begin_burst evacuated-waiting 30 $first
 sleep 1
 kill -CONT "$(pid_of g$first)" "$(pid_of g$second)"
-wait $traffic $burst
+sleep 0.3
+begin_burst evacuated-woken 36 $first
+end_traffic
 check_cold "frozen, taken back" "$from" 2
 await 2 metric_is instances_cold 0 $routers && echo "none is cold"
 metric_is evacuated_domains 0 $routers && echo "nothing is evacuated"
