Keep the store stand-in alive when clients disconnect

With 40 routers starting at once, pb-rows ended: a client that closed its connection during a delayed response left a freed request to the timer, and a write to a closed connection raised SIGPIPE. The delayed response now forgets its request when the connection closes, and SIGPIPE is ignored. The stand-in also counts the bytes of its responses (GET /control/bytes), which the measurements of starts need.

--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -18,6 +18,8 @@
  *                                  including refused ones
  *   GET /control/lists/TABLE       returns the number of listing pages sent
  *                                  for the table
+ *   GET /control/bytes             returns the number of bytes in the bodies of
+ *                                  all store responses
  *
  * Modes:
  *   ok                   serves all calls
@@ -36,6 +38,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <jansson.h>
+#include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -84,6 +87,7 @@
 	long long version; /* of the last change */
 	long long discarded_version; /* feeds from before it get 410 */
 	long long calls;
+	long long bytes; /* in the bodies of responses to store calls */
 	struct list_counter list_counters[TABLES_MAX];
 	enum mode mode;
 	int delay_ms;
@@ -93,7 +97,7 @@
 
 /* A response that a timer sends. */
 struct delayed_reply {
-	struct evhttp_request *req;
+	struct evhttp_request *req; /* NULL: the client has disconnected */
 	struct evbuffer *body;
 	int status;
 	struct event *timer;
@@ -112,12 +116,26 @@
 
 	(void)fd;
 	(void)what;
-	send_reply(d->req, d->status, d->body);
+	if (d->req != NULL) {
+		evhttp_connection_set_closecb(
+		    evhttp_request_get_connection(d->req), NULL, NULL);
+		send_reply(d->req, d->status, d->body);
+	}
 	evbuffer_free(d->body);
 	event_free(d->timer);
 	free(d);
 }
 
+/* The request is freed with its connection. */
+static void
+on_delayed_closed(struct evhttp_connection *conn, void *arg)
+{
+	struct delayed_reply *d = arg;
+
+	(void)conn;
+	d->req = NULL;
+}
+
 static void
 send_json_after(struct store *s, struct evhttp_request *req, int status,
     json_t *body, int delay_ms)
@@ -127,11 +145,12 @@
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	evhttp_connection_set_closecb(
-	    evhttp_request_get_connection(req), NULL, NULL);
+	    evhttp_request_get_connection(req), on_delayed_closed, d);
 	d->req = req;
 	d->status = status;
 	d->body = evbuffer_new();
 	evbuffer_add(d->body, text, strlen(text));
+	s->bytes += (long long)strlen(text);
 	free(text);
 	json_decref(body);
 	d->timer = evtimer_new(s->base, on_delay, d);
@@ -578,6 +597,8 @@
 		control_mode(s, req);
 	} else if (strcmp(path, "/control/calls") == 0) {
 		send_number(req, s->calls);
+	} else if (strcmp(path, "/control/bytes") == 0) {
+		send_number(req, s->bytes);
 	} else if (strncmp(path, "/control/lists/", 15) == 0) {
 		const struct list_counter *c = find_list_counter(s, path + 15);
 
@@ -666,6 +687,7 @@
 		free(s);
 		return 2;
 	}
+	signal(SIGPIPE, SIG_IGN);
 	s->base = event_base_new();
 	if (listen_at(s, argv[1], on_request) == NULL ||
 	    (argc == 3 && listen_at(s, argv[2], on_second_request) == NULL)) {
