Start from a peer instead of the store's whole list

Cause: after a loss of all, each router read the whole list, because it polled the first router of its domain and read the store at once when that one was starting too. A list that took longer than 1.4 s to read was too old for followers when it was complete, so they read it as well, and a router read the store when one poll got no answer within 100 ms. All routers listed the table of routers twice and followed one router.

Change: a starting router waits up to 3 s for the peer that it follows while that one starts, tries the next one if a peer is gone, and the first router asks later ones. A refusal of a starting router says whether it reads the store or waits for a reader, so that routers started one after the other do not all read. A reader whose list is older than the limit calls itself starting until the store has confirmed it. The table of routers is read again as changes, not as a listing. In domains of more than 32 routers the others form two levels; the age limits of the router that reads the store leave room for both. A router whose peer has a newer configuration goes on answering its followers, with the true age of its own, instead of sending them to the store.

--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -11,31 +11,24 @@
  */
 
 /*
- * At startup, a router lists the routers and polls the first of them. If the
- * list or the answer does not arrive within these times, it reads the store:
- * after an outage of all routers, the first one may be gone or may start last.
- */
-#define START_LIMIT_US (250 * PB_MSEC)
-#define START_ANSWER_US (100 * PB_MSEC)
-/*
- * How long this router, at startup, avoids one that did not answer. It polls
- * that router again soon because START_ANSWER_US is short.
+ * At startup, a router lists the routers and polls the one that it follows. If
+ * the list does not arrive within this time, it reads the store.
  */
+#define START_LIST_US PB_SEC
+/* A router that is gone does not accept the connection; others may be busy. */
+#define START_CONNECT_US (100 * PB_MSEC)
+#define START_ANSWER_US (400 * PB_MSEC)
+/* How long this router, at startup, avoids one that did not answer. */
 #define START_AVOID_US PB_SEC
+/* Routers after it in order that the first router asks at startup. */
+#define LATER_MAX 16
 /*
  * Time before the list of routers is read again after the start. The routers of
  * a starting fleet write their rows in this time.
  */
 #define RELIST_DELAY_US PB_SEC
-/*
- * A polled router may itself be starting; it is then polled again for up to
- * STARTING_LIMIT_US. A fleet that starts for the first time has no callers yet,
- * so this router only waits STARTING_PAUSE_US between polls. Otherwise it reads
- * the store meanwhile and waits RESTART_PAUSE_US.
- */
+/* Time between polls of a router that is starting as well. */
 #define STARTING_PAUSE_US (40 * PB_MSEC)
-#define STARTING_LIMIT_US (1500 * PB_MSEC)
-#define RESTART_PAUSE_US (200 * PB_MSEC)
 /* Time for the store to return the list of routers. */
 #define LIST_ANSWER_US (300 * PB_MSEC)
 #define ANSWER_LIMIT_US (1100 * PB_MSEC)
@@ -91,13 +84,17 @@
 	bool first_start; /* the list of routers had no row of this router */
 	bool awaiting_rows; /* waiting for other routers to write their rows */
 	bool peer_is_starting; /* according to its last answer */
-	int64_t peer_starting_us; /* first answer of a starting peer; 0: none */
+	bool peer_has_source; /* it reads the store or waits for a reader */
+	int asked_later; /* startup: polled routers that come after this one */
+	int64_t listed_us; /* when the routers were first listed; 0: not yet */
+	int64_t silent_us; /* startup: time spent on peers without an answer */
 	int64_t router_refresh_us; /* last refresh while reading the store */
 	bool relisted; /* the list was requested again after the start */
 };
 
 static void poll_peer(struct pb_follower *f);
-static void drop_peer(struct pb_follower *f, const char *why);
+static bool poll_next_peer(struct pb_follower *f);
+static void take_start_step(struct pb_follower *f, const char *why);
 
 bool
 pb_is_following(const struct pb_follower *follower)
@@ -107,9 +104,10 @@
 }
 
 bool
-pb_is_routing_outdated(const struct pb_follower *follower)
+pb_has_source(const struct pb_follower *follower)
 {
-	return follower->routing_outdated;
+	return !follower->starting ||
+	    (follower->peer != NULL && follower->peer_has_source);
 }
 
 /* Reads the store instead of polling a peer. */
@@ -132,6 +130,43 @@
 		r->unanswered_count = 0;
 }
 
+/* Stops polling the peer and avoids it for us microseconds. */
+static void
+leave_peer(struct pb_follower *f, int64_t us, const char *why)
+{
+	struct pb_gateway *gw = f->gw;
+
+	f->epoch = 0;
+	f->routing_outdated = false;
+	if (f->peer == NULL)
+		return;
+	if (us > 0)
+		pb_note_unreachable_for(gw->ctx, f->peer, us);
+	pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL, "%s%s",
+	    f->following ? "no longer followed: " : "", why);
+	pb_drop_instance(f->peer);
+	f->peer = NULL;
+}
+
+/* Leaves the peer and reads the store, or at startup asks the next peer. */
+static void
+drop_peer_for(struct pb_follower *f, int64_t us, const char *why)
+{
+	if (f->starting) {
+		take_start_step(f, why);
+		return;
+	}
+	leave_peer(f, us, why);
+	pb_set_timer(f->timer, f->relisted ? RETRY_US : RELIST_DELAY_US);
+	switch_to_store(f);
+}
+
+static void
+drop_peer(struct pb_follower *f, const char *why)
+{
+	drop_peer_for(f, AVOID_US, why);
+}
+
 /*
  * Drops a peer that gave no answer and avoids it for twice as long as the last
  * time.
@@ -140,37 +175,17 @@
 drop_silent_peer(struct pb_follower *f, const char *why)
 {
 	struct pb_router *r = pb_find_router(&f->routers, f->peer);
-	struct pb_instance *router = f->peer;
 	int64_t us = AVOID_US;
 
+	f->peer_is_starting = false;
 	if (f->starting) {
-		us = START_AVOID_US;
+		f->silent_us += pb_now(f->gw->ctx) - f->sent_us;
 	} else if (r != NULL) {
 		us <<= r->unanswered_count;
 		if (r->unanswered_count < AVOID_SHIFT_MAX)
 			r->unanswered_count++;
 	}
-	drop_peer(f, why);
-	if (r != NULL)
-		pb_note_unreachable_for(f->gw->ctx, router, us);
-}
-
-static void
-drop_peer(struct pb_follower *f, const char *why)
-{
-	struct pb_gateway *gw = f->gw;
-
-	if (f->peer != NULL) {
-		pb_note_unreachable_for(gw->ctx, f->peer, AVOID_US);
-		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
-		    "%s%s", f->following ? "no longer followed: " : "", why);
-		pb_drop_instance(f->peer);
-		f->peer = NULL;
-	}
-	f->epoch = 0;
-	f->routing_outdated = false;
-	pb_set_timer(f->timer, f->relisted ? RETRY_US : RELIST_DELAY_US);
-	switch_to_store(f);
+	drop_peer_for(f, us, why);
 }
 
 /* Returns true while the store does not serve this router. */
@@ -251,8 +266,10 @@
 		return;
 	}
 	apply_answer(f, a);
-	if (f->peer->hash >= f->own_hash && !is_store_unavailable(gw)) {
-		drop_peer(f, "the store is available again");
+	f->starting = false;
+	if (f->peer->hash >= f->own_hash && !f->routing_outdated &&
+	    !is_store_unavailable(gw)) {
+		drop_peer(f, "the store is available");
 		return;
 	}
 	if (!f->following)
@@ -262,7 +279,6 @@
 		    a->entries.entries_len,
 		    (long long)(a->instances_age / PB_MSEC));
 	f->following = true;
-	f->starting = false;
 	f->reads_store_too = false;
 	if (pb_is_following(f))
 		pause_watches(gw);
@@ -282,6 +298,8 @@
 
 	if (pb_is_following(f) && !f->reads_store_too && late < at)
 		at = late;
+	if (f->starting && !pb_is_sent(&f->call))
+		at = f->sent_us + START_CONNECT_US;
 	pb_set_timer(f->timer, at > now ? at - now : 1);
 }
 
@@ -295,6 +313,8 @@
 
 	f->status = h->status;
 	f->peer_is_starting = pb_find_http_field(h, "Retry-After").data != NULL;
+	f->peer_has_source =
+	    pb_find_http_field(h, PB_SOURCE_FIELD).data != NULL;
 	snprintf(text, sizeof(text), "%.*s", (int)tag.len,
 	    tag.len > 0 ? tag.data : "");
 	f->routing_row = strtoll(text, NULL, 10);
@@ -344,28 +364,52 @@
 	pb_set_timer(f->timer, POLL_PAUSE_US);
 }
 
-/*
- * Handles an answer from a peer that is itself starting. Returns false if the
- * peer has been starting for too long.
- */
-static bool
-handle_starting_peer(struct pb_follower *f)
+/* Polls the next router, or reads the store if there is none. */
+static void
+start_with_next_peer(struct pb_follower *f)
 {
-	int64_t now = pb_now(f->gw->ctx);
+	if (poll_next_peer(f))
+		return;
+	/*
+	 * This router starts for the first time, and perhaps the whole fleet
+	 * does. A router that precedes it may not have written its row yet.
+	 */
+	f->awaiting_rows = f->first_start && !f->relisted;
+	if (!f->awaiting_rows)
+		switch_to_store(f);
+	pb_set_timer(f->timer, RELIST_DELAY_US);
+}
 
-	if (f->peer_starting_us == 0)
-		f->peer_starting_us = now;
-	if (now - f->peer_starting_us > STARTING_LIMIT_US)
-		return false;
-	if (f->first_start) {
+/* Continues the startup after a poll that brought no data. */
+static void
+take_start_step(struct pb_follower *f, const char *why)
+{
+	struct pb_start_facts facts = {
+	    .elapsed_us = pb_now(f->gw->ctx) - f->listed_us,
+	    .silent_us = f->silent_us,
+	    .peer_is_starting = f->peer_is_starting,
+	    .peer_precedes = f->peer->hash < f->own_hash,
+	    .peer_has_source = f->peer_has_source,
+	    .awaits_rows = f->first_start && !f->relisted};
+
+	switch (pb_decide_start(&facts)) {
+	case PB_START_WAIT:
 		pb_set_timer(f->timer, STARTING_PAUSE_US);
-		return true;
+		break;
+	case PB_START_AWAIT_ROWS:
+		leave_peer(f, 0, why);
+		f->awaiting_rows = true;
+		pb_set_timer(f->timer, RELIST_DELAY_US);
+		break;
+	case PB_START_NEXT_PEER:
+		leave_peer(f, START_AVOID_US, why);
+		pb_set_timer(f->timer, 1);
+		break;
+	case PB_START_READ_STORE:
+		leave_peer(f, f->peer_is_starting ? 0 : START_AVOID_US, why);
+		switch_to_store(f);
+		pb_set_timer(f->timer, RELIST_DELAY_US);
 	}
-	switch_to_store(f);
-	f->starting = true;
-	f->relisted = true;
-	pb_set_timer(f->timer, RESTART_PAUSE_US);
-	return true;
 }
 
 static void
@@ -377,9 +421,11 @@
 
 	evtimer_del(f->timer);
 	reset_unanswered_count(f);
-	if (f->starting && f->status == 503 && f->peer_is_starting &&
-	    handle_starting_peer(f))
+	if (f->starting && f->status == 503 && f->peer_is_starting) {
+		take_start_step(f, "it is starting");
 		return;
+	}
+	f->peer_is_starting = false;
 	if (f->status != 200 || f->answer.len == 0) {
 		drop_peer(f, "it returned no usable answer");
 		return;
@@ -479,20 +525,36 @@
 }
 
 /*
- * Polls the first router that precedes this one or, while the store does not
- * serve this router, the first router of the failure domain. Returns false if
- * there is none or if this router is stopping.
+ * Returns the next router to poll, or NULL. While the store does not serve this
+ * router, that is the first router of the failure domain. The first router asks
+ * others at startup, which may have the data.
  */
+static struct pb_instance *
+find_peer(struct pb_follower *f)
+{
+	struct pb_gateway *gw = f->gw;
+	struct pb_instance *peer = NULL;
+
+	if (!is_store_unavailable(gw)) {
+		peer = pb_preceding_router(gw, &f->routers, f->own_hash);
+		if (peer != NULL || !f->starting ||
+		    f->asked_later++ >= LATER_MAX)
+			return peer;
+	}
+	return pb_first_router(
+	    gw, &f->routers, gw->settings.domain, UINT64_MAX);
+}
+
+/* Returns false if there is no peer to poll or if this router is stopping. */
 static bool
-poll_first_peer(struct pb_follower *f)
+poll_next_peer(struct pb_follower *f)
 {
-	uint64_t limit = is_store_unavailable(f->gw) ? UINT64_MAX : f->own_hash;
-	struct pb_instance *peer =
-	    pb_first_router(f->gw, &f->routers, f->gw->settings.domain, limit);
+	struct pb_instance *peer = find_peer(f);
 
 	if (peer == NULL || f->gw->stop_us != 0)
 		return false;
 	f->peer = pb_keep_instance(peer);
+	f->peer_has_source = false;
 	f->epoch = 0;
 	f->since = 0;
 	f->reports_since = 0;
@@ -500,10 +562,7 @@
 	return true;
 }
 
-/*
- * Lists the routers regularly while this one reads the store: a router that has
- * joined may precede it.
- */
+/* Finds routers that have joined and may precede this one. */
 static void
 refresh_router_list(struct pb_follower *f)
 {
@@ -512,7 +571,7 @@
 	if (now - f->router_refresh_us < ROUTER_REFRESH_US)
 		return;
 	f->router_refresh_us = now;
-	pb_request_listing(f->gw->router_watch);
+	pb_request_changes(f->gw->router_watch);
 }
 
 /* Checks a poll that has no complete answer yet. */
@@ -522,7 +581,9 @@
 	struct pb_gateway *gw = f->gw;
 	int64_t waited = pb_now(gw->ctx) - f->sent_us;
 
-	if (pb_now(gw->ctx) >= f->give_up_us) {
+	if (pb_now(gw->ctx) >= f->give_up_us ||
+	    (f->starting && waited >= START_CONNECT_US &&
+		!pb_is_sent(&f->call))) {
 		pb_cancel_call(&f->call);
 		drop_silent_peer(f, "the poll timed out");
 		return;
@@ -557,8 +618,12 @@
 	if (f->awaiting_rows) {
 		f->awaiting_rows = false;
 		f->relisted = true;
-		pb_request_listing(f->gw->router_watch);
-		pb_set_timer(f->timer, LIST_ANSWER_US);
+		pb_request_changes(f->gw->router_watch);
+		pb_set_timer(f->timer, START_LIST_US);
+		return;
+	}
+	if (f->starting && f->listed_us != 0) {
+		start_with_next_peer(f);
 		return;
 	}
 	if (f->starting) {
@@ -568,11 +633,11 @@
 	}
 	if (!f->relisted) {
 		f->relisted = true;
-		pb_request_listing(f->gw->router_watch);
+		pb_request_changes(f->gw->router_watch);
 		pb_set_timer(f->timer, LIST_ANSWER_US);
 		return;
 	}
-	if (poll_first_peer(f))
+	if (poll_next_peer(f))
 		return;
 	refresh_router_list(f);
 	pb_set_timer(f->timer, NO_PEER_RETRY_US);
@@ -591,20 +656,11 @@
 		pb_start_announcer(follower->gw->announcer);
 		follower->first_start = true;
 	}
-	if (!follower->starting || follower->awaiting_rows ||
-	    follower->peer != NULL || poll_first_peer(follower))
-		return;
-	/*
-	 * This router starts for the first time, and perhaps the whole fleet
-	 * does. A router that precedes it may not have written its row yet.
-	 */
-	if (follower->first_start && !follower->relisted) {
-		follower->awaiting_rows = true;
-		pb_set_timer(follower->timer, RELIST_DELAY_US);
-		return;
-	}
-	switch_to_store(follower);
-	pb_set_timer(follower->timer, RELIST_DELAY_US);
+	if (follower->listed_us == 0)
+		follower->listed_us = pb_now(follower->gw->ctx);
+	if (follower->starting && !follower->awaiting_rows &&
+	    follower->peer == NULL)
+		start_with_next_peer(follower);
 }
 
 struct pb_follower *
@@ -623,7 +679,7 @@
 		return NULL;
 	}
 	f->starting = true;
-	pb_set_timer(f->timer, START_LIMIT_US);
+	pb_set_timer(f->timer, START_LIST_US);
 	return f;
 }
 
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -2,6 +2,7 @@
 #define GATEWAY_FOLLOW_H
 
 #include "gateway-internal.h"
+#include "poplarbeam/order.h"
 
 /*
  * What is known of configuration, instances and other routers: read from the
@@ -72,8 +73,11 @@
 void pb_pause_watch(struct pb_watch *watch);
 /* Sends a request at once if the watch was paused. */
 void pb_resume_watch(struct pb_watch *watch);
-/* Starts a full listing as soon as possible, even if the watch is paused. */
-void pb_request_listing(struct pb_watch *watch);
+/*
+ * Requests the changes since the last response at once unless a request is in
+ * progress, even if the watch is paused.
+ */
+void pb_request_changes(struct pb_watch *watch);
 
 /* gateway-state.c: applies rows of the store and records their age. */
 extern const struct pb_watch_ops pb_routing_watch_ops;
@@ -132,6 +136,15 @@
  * at the time of the listing.
  */
 void pb_share_router_hashes(struct pb_gateway *gw, int64_t version);
+/*
+ * Returns the router of the own failure domain that a router with this hash
+ * follows, or NULL if it is the first. Routers that are avoided as unreachable
+ * are left out.
+ */
+struct pb_instance *pb_preceding_router(struct pb_gateway *gw,
+    const struct pb_router_list *list, uint64_t own_hash);
+/* Counts this router and the other known ones of its failure domain. */
+size_t pb_count_domain_routers(const struct pb_gateway *gw);
 /* Counts this router and all other known ones, of all failure domains. */
 size_t pb_count_routers(const struct pb_gateway *gw);
 void pb_clear_routers(struct pb_router_list *list);
@@ -144,8 +157,11 @@
  * hashes. The data of that router replaces the store's and may be passed on.
  */
 bool pb_is_following(const struct pb_follower *follower);
-/* Returns true if the followed router has a newer configuration. */
-bool pb_is_routing_outdated(const struct pb_follower *follower);
+/*
+ * Returns true if this router, which is starting, reads the store or waits for
+ * one that does.
+ */
+bool pb_has_source(const struct pb_follower *follower);
 /* Returns the list of other routers, to which rows are applied. */
 struct pb_router_list *pb_known_routers(struct pb_follower *follower);
 /* Called when all rows of a listing of routers are applied. */
@@ -160,6 +176,8 @@
 #define PB_CHANGES_PATH "/changes"
 #define PB_ROUTING_PATH "/routing"
 #define PB_STREAMS_PATH "/streams"
+/* Field of a refusal by a starting router for which pb_has_source holds. */
+#define PB_SOURCE_FIELD "Data-Source"
 extern const struct pb_conn_ops pb_peer_ops;
 /* Answers held polls when there are changes or the hold time is over. */
 void pb_answer_held_polls(struct pb_gateway *gw);
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -234,27 +234,44 @@
 	if (gw->routing == NULL || pb_list_version(gw->registry) == 0 ||
 	    gw->stop_us != 0)
 		return false;
+	/* The ages tell a follower if this router's data is outdated. */
 	if (pb_is_following(gw->follower))
-		return !pb_is_routing_outdated(gw->follower);
+		return true;
 	return !pb_is_watch_failing(gw->routing_watch) &&
 	    !pb_is_watch_failing(gw->instance_watch);
 }
 
 /*
- * Refuses a request. Adds a Retry-After field if this router is starting and
- * will soon have the data.
+ * Returns true if this router is starting and will soon have the data. A long
+ * listing is outdated when it is complete, until the store has confirmed it.
  */
+static bool
+is_starting(const struct pb_gateway *gw)
+{
+	int64_t age = pb_now(gw->ctx) - gw->instances_fresh_us;
+
+	if (gw->stop_us != 0)
+		return false;
+	if (gw->routing == NULL || pb_list_version(gw->registry) == 0)
+		return true;
+	return age > PB_INSTANCES_AGE_MAX_US &&
+	    !pb_is_watch_failing(gw->instance_watch);
+}
+
+/* Refuses a request. Adds a Retry-After field if this router is starting. */
 static void
 refuse_request(struct pb_conn *conn)
 {
 	const struct pb_gateway *gw = conn->gw;
-	bool starting = gw->stop_us == 0 &&
-	    (gw->routing == NULL || pb_list_version(gw->registry) == 0);
+	static const char waiting[] = "Retry-After: 0\r\n";
+	static const char reading[] =
+	    "Retry-After: 0\r\n" PB_SOURCE_FIELD ": store\r\n";
+	const char *fields = "";
 
+	if (is_starting(gw))
+		fields = pb_has_source(gw->follower) ? reading : waiting;
 	conn->held_us = 0;
-	pb_send_response(conn, 503,
-	    starting ? pb_str_from("Retry-After: 0\r\n") : PB_STR_NONE,
-	    PB_STR_NONE);
+	pb_send_response(conn, 503, pb_str_from(fields), PB_STR_NONE);
 }
 
 /*
@@ -335,6 +352,11 @@
 		pb_send_response(conn, 400, PB_STR_NONE, PB_STR_NONE);
 		return;
 	}
+	if (q.list_row == 0 && is_starting(gw)) {
+		refuse_request(conn);
+		free_question(&q);
+		return;
+	}
 	conn->held_us = pb_now(gw->ctx);
 	pb_apply_load_reports(gw, q.reports.reports_val, q.reports.reports_len);
 	pb_add_outcomes(gw, q.outcomes.outcomes_val, q.outcomes.outcomes_len);
--- a/source/gateway/gateway-routers.c
+++ b/source/gateway/gateway-routers.c
@@ -144,6 +144,69 @@
 	free(hashes);
 }
 
+static int
+compare_hashes(const void *a, const void *b)
+{
+	const struct pb_instance *x = *(struct pb_instance *const *)a;
+	const struct pb_instance *y = *(struct pb_instance *const *)b;
+
+	return x->hash < y->hash ? -1 : x->hash > y->hash;
+}
+
+/*
+ * Stores the reachable routers of the own failure domain that precede the hash
+ * and returns their number. Adds the later ones to later.
+ */
+static size_t
+find_preceding(struct pb_gateway *gw, const struct pb_router_list *list,
+    uint64_t hash, struct pb_instance **found, size_t *later)
+{
+	int64_t now = pb_now(gw->ctx);
+	const struct pb_router *r;
+	size_t n = 0;
+
+	for (r = list->first; r != NULL; r = r->next) {
+		if (strcmp(r->domain, gw->settings.domain) != 0 ||
+		    now < r->instance->avoid_until_us)
+			continue;
+		if (r->instance->hash < hash)
+			found[n++] = r->instance;
+		else
+			++*later;
+	}
+	return n;
+}
+
+struct pb_instance *
+pb_preceding_router(
+    struct pb_gateway *gw, const struct pb_router_list *list, uint64_t own_hash)
+{
+	struct pb_instance **found =
+	    calloc(list->count + 1, sizeof(struct pb_instance *));
+	struct pb_instance *parent = NULL;
+	size_t n, later = 0;
+
+	if (found == NULL)
+		return NULL;
+	n = find_preceding(gw, list, own_hash, found, &later);
+	qsort(found, n, sizeof(struct pb_instance *), compare_hashes);
+	if (n > 0)
+		parent = found[pb_order_parent(n, n + 1 + later)];
+	free(found);
+	return parent;
+}
+
+size_t
+pb_count_domain_routers(const struct pb_gateway *gw)
+{
+	const struct pb_router *r;
+	size_t n = 1;
+
+	for (r = pb_known_routers(gw->follower)->first; r != NULL; r = r->next)
+		n += strcmp(r->domain, gw->settings.domain) == 0;
+	return n;
+}
+
 size_t
 pb_count_routers(const struct pb_gateway *gw)
 {
--- a/source/gateway/gateway-state.c
+++ b/source/gateway/gateway-state.c
@@ -34,7 +34,7 @@
  * store is not ready for new connections.
  */
 #define READY_AGE_FRACTION 0.8
-/* Delay of followers behind the router that reads the store. */
+/* Delay of a follower behind the router that it polls. */
 #define FOLLOW_LAG_US (300 * PB_MSEC)
 #define ROUTER_PERIOD_US (60 * PB_SEC)
 #define ROUTER_LIST_PERIOD_US (180 * PB_SEC)
@@ -52,6 +52,13 @@
 	    (double)(gw->settings.revoke_ms * PB_MSEC));
 }
 
+/* Delay of the last followers of this failure domain. */
+static int64_t
+find_follow_lag(const struct pb_gateway *gw)
+{
+	return FOLLOW_LAG_US * pb_order_levels(pb_count_domain_routers(gw));
+}
+
 /*
  * Returns the maximum age of the configuration at this router with which all of
  * its followers stay ready.
@@ -62,14 +69,14 @@
 	int64_t ready = pb_routing_age_ready(gw);
 	int64_t max = pb_routing_age_max(gw);
 
-	return (ready < max ? ready : max) - FOLLOW_LAG_US;
+	return (ready < max ? ready : max) - find_follow_lag(gw);
 }
 
 static int64_t
 find_instances_max_age(const struct pb_gateway *gw)
 {
-	(void)gw;
-	return PB_INSTANCES_AGE_MAX_US;
+	/* Followers check the age at the router that they poll. */
+	return PB_INSTANCES_AGE_MAX_US - find_follow_lag(gw) + FOLLOW_LAG_US;
 }
 
 static void
@@ -242,16 +249,11 @@
 	pb_apply_router_row(gw, pb_known_routers(gw->follower), row);
 }
 
-static void
-on_routers_end(struct pb_gateway *gw)
-{
-	pb_note_routers_listed(gw->follower);
-}
-
 static void
 on_routers_complete(struct pb_gateway *gw, int64_t version)
 {
 	pb_share_router_hashes(gw, version);
+	pb_note_routers_listed(gw->follower);
 }
 
 static int64_t
@@ -289,7 +291,6 @@
     .list_period_us = INSTANCE_LIST_PERIOD_US};
 
 const struct pb_watch_ops pb_router_watch_ops = {.apply_row = on_router_row,
-    .end_listing = on_routers_end,
     .note_complete = on_routers_complete,
     .table = PB_STORE_ROUTERS,
     .name = "the list of routers",
--- a/source/gateway/gateway-watch.c
+++ b/source/gateway/gateway-watch.c
@@ -19,8 +19,6 @@
  * after this time in case the store fails only for them.
  */
 #define RETRY_OTHERS_US (3 * PB_SEC)
-/* Minimum time between a request and a listing by pb_request_listing. */
-#define LIST_MIN_US (500 * PB_MSEC)
 /*
  * Large responses may take a quarter of the time, so that most of a small
  * machine's link is left to callers. The pause after them is limited so that
@@ -470,14 +468,9 @@
 }
 
 void
-pb_request_listing(struct pb_watch *watch)
+pb_request_changes(struct pb_watch *watch)
 {
-	if (watch->must_list && watch->call.link != NULL)
-		return;
-	restart_listing(watch);
-	if (watch->call.link == NULL &&
-	    pb_now(watch->gw->ctx) - watch->sent_us >=
-		max_us(LIST_MIN_US, watch->large_pause_us))
+	if (watch->call.link == NULL)
 		send_request(watch);
 }
 
