--- a/standin/pb-rows.c
+++ b/standin/pb-rows.c
@@ -687,6 +687,7 @@
 		free(s);
 		return 2;
 	}
+	/* The peer may close a connection while it is written to. */
 	signal(SIGPIPE, SIG_IGN);
 	s->base = event_base_new();
 	if (listen_at(s, argv[1], on_request) == NULL ||
