Pass reports of followers on to the followed router

Cause: a router between two others reported upwards only the loads and outcomes that it had seen itself, so that the load and the failures seen by routers of the second level reached neither the first router nor the other branches. A report that arrived later than the previous answer but was made before it was not passed on at all.

Change: loads and outcomes of a polling router are passed on like own ones, and load reports are selected by when they arrived.

--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -69,7 +69,8 @@
 	int reported_own; /* requests of this router among reported */
 	int64_t reported_us; /* time of the last report; 0: none yet */
 	bool load_unreadable; /* load reports cannot be parsed */
-	bool report_shared; /* the last report came from another router */
+	bool report_shared; /* the last report came from the followed router */
+	int64_t report_seen_us; /* when this router received the last report */
 	int64_t avoid_until_us; /* unreachable: avoided until then */
 	bool leaving; /* has said so in an answer */
 	int64_t leaving_us; /* when it first said so */
@@ -301,17 +302,25 @@
 /* Records the instance's report of its running and waiting requests. */
 void pb_note_load(
     struct pb_context *ctx, struct pb_instance *instance, int requests);
+/* A load report that another router has received. */
+struct pb_load_report {
+	uint32_t id_hash; /* low bits of the instance's hash */
+	int requests;
+	int64_t reported_us;
+	/* Of a router that polls this one: passed on like an own report. */
+	bool of_follower;
+};
+
 /*
- * Records a load report that another router received at reported_us. A report
- * that is not newer than the known one is ignored. id_hash: low bits of the
- * instance's hash.
+ * Records a load report that another router received. A report that is not
+ * newer than the known one is ignored.
  */
-void pb_note_shared_load(struct pb_registry *registry, uint32_t id_hash,
-    int requests, int64_t reported_us);
+void pb_note_shared_load(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_load_report *report);
 /*
- * Stores up to cap instances with a load report later than since_us, newest
- * first, and returns their number. If own is set, only reports that this router
- * received itself count.
+ * Stores up to cap instances with a load report received after since_us, newest
+ * first, and returns their number. If own is set, reports that came from the
+ * followed router are left out.
  */
 size_t pb_read_reports(const struct pb_registry *registry, int64_t since_us,
     bool own, const struct pb_instance **instances, size_t cap);
@@ -388,7 +397,8 @@
 };
 
 /*
- * Stores the outcomes of this router that were not sent to another router yet,
+ * Stores the outcomes of this router, and of the routers that poll it, that
+ * were not sent to another router yet,
  * for up to cap instances, and returns the number of these instances. The
  * stored outcomes are cleared, so that each is sent once.
  */
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -216,13 +216,13 @@
     struct pb_gateway *gw, const struct change_answer *answer, int64_t sent_us);
 /*
  * Fill load reports for another router, or apply those of another router. If
- * own is true, only loads that this router received from instances are filled
- * in.
+ * own is true, loads that this router received from the followed router are
+ * left out. of_follower: the reports are of a router that polls this one.
  */
 void pb_fill_load_reports(struct pb_gateway *gw, int64_t since_us, bool own,
     struct load_report *reports, unsigned int *count);
 void pb_apply_load_reports(struct pb_gateway *gw,
-    const struct load_report *reports, unsigned int count);
+    const struct load_report *reports, unsigned int count, bool of_follower);
 /*
  * Fill up to OUTCOMES_MAX reports and return their number. The first function
  * reports this router's own outcomes, each only once; the second one reports
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -358,7 +358,8 @@
 		return;
 	}
 	conn->held_us = pb_now(gw->ctx);
-	pb_apply_load_reports(gw, q.reports.reports_val, q.reports.reports_len);
+	pb_apply_load_reports(
+	    gw, q.reports.reports_val, q.reports.reports_len, true);
 	pb_add_outcomes(gw, q.outcomes.outcomes_val, q.outcomes.outcomes_len);
 	pb_apply_crashes(gw, q.crashes.crashes_val, q.crashes.crashes_len);
 	pb_replace_peer_streams(conn, PB_PEER_OWN_DOMAIN, q.streams.streams_val,
--- a/source/gateway/gateway-reports.c
+++ b/source/gateway/gateway-reports.c
@@ -25,16 +25,20 @@
 }
 
 void
-pb_apply_load_reports(
-    struct pb_gateway *gw, const struct load_report *reports, u_int count)
+pb_apply_load_reports(struct pb_gateway *gw, const struct load_report *reports,
+    u_int count, bool of_follower)
 {
 	int64_t now = pb_now(gw->ctx);
 	u_int i;
 
-	for (i = 0; i < count; i++)
-		pb_note_shared_load(gw->registry, reports[i].id_hash,
-		    (int)reports[i].requests,
-		    now - reports[i].age_ms * PB_MSEC);
+	for (i = 0; i < count; i++) {
+		struct pb_load_report report = {.id_hash = reports[i].id_hash,
+		    .requests = (int)reports[i].requests,
+		    .reported_us = now - reports[i].age_ms * PB_MSEC,
+		    .of_follower = of_follower};
+
+		pb_note_shared_load(gw->ctx, gw->registry, &report);
+	}
 }
 
 static unsigned int
@@ -199,8 +203,8 @@
 	if (answer->full)
 		pb_end_listing(gw->ctx, gw->registry);
 	pb_note_list_version(gw->registry, answer->list_row);
-	pb_apply_load_reports(
-	    gw, answer->reports.reports_val, answer->reports.reports_len);
+	pb_apply_load_reports(gw, answer->reports.reports_val,
+	    answer->reports.reports_len, false);
 	apply_outcomes(gw, answer->outcomes.outcomes_val,
 	    answer->outcomes.outcomes_len, pb_set_shared_outcomes);
 	pb_apply_crashes(
--- a/source/registry/registry-health.c
+++ b/source/registry/registry-health.c
@@ -174,6 +174,8 @@
 		return;
 	add_attempts(
 	    &inst->shared, outcomes->failures, outcomes->attempts, pb_now(ctx));
+	add_attempts(
+	    &inst->unsent, outcomes->failures, outcomes->attempts, pb_now(ctx));
 	update_health(ctx, registry, inst);
 }
 
--- a/source/registry/registry-load.c
+++ b/source/registry/registry-load.c
@@ -26,21 +26,23 @@
 	instance->reported = requests;
 	instance->reported_own = instance->in_flight;
 	instance->reported_us = pb_now(ctx);
+	instance->report_seen_us = instance->reported_us;
 	instance->report_shared = false;
 }
 
 void
-pb_note_shared_load(struct pb_registry *registry, uint32_t id_hash,
-    int requests, int64_t reported_us)
+pb_note_shared_load(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_load_report *report)
 {
-	struct pb_instance *inst = pb_find_by_hash(registry, id_hash);
+	struct pb_instance *inst = pb_find_by_hash(registry, report->id_hash);
 
-	if (inst == NULL || reported_us <= inst->reported_us)
+	if (inst == NULL || report->reported_us <= inst->reported_us)
 		return;
-	inst->reported = requests;
+	inst->reported = report->requests;
 	inst->reported_own = inst->in_flight;
-	inst->reported_us = reported_us;
-	inst->report_shared = true;
+	inst->reported_us = report->reported_us;
+	inst->report_seen_us = pb_now(ctx);
+	inst->report_shared = !report->of_follower;
 }
 
 static int
@@ -67,7 +69,7 @@
 	for (i = 0; i < registry->count; i++) {
 		const struct pb_instance *inst = registry->instances[i];
 
-		if (inst->reported_us > since_us &&
+		if (inst->report_seen_us > since_us &&
 		    !(own && inst->report_shared))
 			all[n++] = inst;
 	}
