Compress the whole list that starting routers receive

Cause: an answer with the whole list took about 75 bytes an entry, encoded anew for each follower; 3,000 entries for 23 followers were 5.5 MB of the first router's link.

Change: the entries of a full answer are compressed once for all routers that ask at about the same time, with the age of the answer outside of it. What a router sends again within a second states the cold time of an instance up to a second too long, never too short.

--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -113,6 +113,10 @@
 		u_int entries_len;
 		change_entry *entries_val;
 	} entries;
+	struct {
+		u_int packed_len;
+		char *packed_val;
+	} packed;
 	quad_t clock;
 	struct {
 		u_int reports_len;
@@ -143,6 +147,14 @@
 };
 typedef struct change_answer change_answer;
 
+struct change_list {
+	struct {
+		u_int entries_len;
+		change_entry *entries_val;
+	} entries;
+};
+typedef struct change_list change_list;
+
 struct router_row {
 	change_text domain;
 	change_text address;
@@ -161,6 +173,7 @@
 extern  bool_t xdr_domain_report (XDR *, domain_report*);
 extern  bool_t xdr_change_question (XDR *, change_question*);
 extern  bool_t xdr_change_answer (XDR *, change_answer*);
+extern  bool_t xdr_change_list (XDR *, change_list*);
 extern  bool_t xdr_router_row (XDR *, router_row*);
 
 #else /* K&R C */
@@ -173,6 +186,7 @@
 extern bool_t xdr_domain_report ();
 extern bool_t xdr_change_question ();
 extern bool_t xdr_change_answer ();
+extern bool_t xdr_change_list ();
 extern bool_t xdr_router_row ();
 
 #endif /* K&R C */
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -77,7 +77,7 @@
 struct change_answer {
 	unsigned hyper epoch;	/* of the answering process */
 	unsigned hyper sequence;
-	bool full;		/* entries replace the whole list */
+	bool full;		/* the entries replace the whole list */
 	hyper routing_row;
 	hyper list_row;
 	/*
@@ -87,6 +87,7 @@
 	hyper routing_age;
 	hyper instances_age;
 	change_entry entries<>;
+	opaque packed<>;	/* a change_list, compressed, if full is set */
 	hyper clock;		/* of the answering process, microseconds */
 	load_report reports<LOAD_REPORTS_MAX>; /* newer than reports_since */
 	outcome_report outcomes<OUTCOMES_MAX>; /* of all polling routers */
@@ -99,6 +100,11 @@
 	unsigned hyper routers<ROUTERS_MAX>;
 };
 
+/* The whole list of instances. */
+struct change_list {
+	change_entry entries<>;
+};
+
 /* Value of a router's row in the store. */
 struct router_row {
 	change_text domain;
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -161,6 +161,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
 		sizeof (change_entry), (xdrproc_t) xdr_change_entry))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->packed.packed_val, (u_int *) &objp->packed.packed_len, ~0))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->clock))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->reports.reports_val, (u_int *) &objp->reports.reports_len, LOAD_REPORTS_MAX,
@@ -188,6 +190,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_change_list (XDR *xdrs, change_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
+		sizeof (change_entry), (xdrproc_t) xdr_change_entry))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_router_row (XDR *xdrs, router_row *objp)
 {
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -263,6 +263,7 @@
 	pb_drop_routing(gw->ctx, gw->routing);
 	pb_clear_buf(&gw->routing_text);
 	pb_clear_buf(&gw->routing_compressed);
+	pb_clear_buf(&gw->packed_list);
 	pb_drop_gateway_metrics(gw->metrics);
 	if (gw->base != NULL)
 		event_base_free(gw->base);
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -436,7 +436,7 @@
 	}
 	memset(&answer, 0, sizeof(answer));
 	xdrmem_create(&xdr, f->answer.data, (u_int)f->answer.len, XDR_DECODE);
-	if (xdr_change_answer(&xdr, &answer))
+	if (xdr_change_answer(&xdr, &answer) && pb_unpack_list(&answer))
 		handle_changes(f, &answer);
 	else
 		drop_peer(f, "its answer could not be decoded");
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -182,6 +182,25 @@
 /* Answers held polls when there are changes or the hold time is over. */
 void pb_answer_held_polls(struct pb_gateway *gw);
 
+/* gateway-entries.c: entries of the list of instances in messages. */
+struct change_entry;
+struct change_answer;
+/*
+ * Stores an allocated array of the entries that changed after the sequence
+ * since, or of all, which the caller frees. Its texts belong to the registry.
+ */
+int pb_fill_entries(struct pb_gateway *gw, uint64_t since, bool full,
+    struct change_entry **entries, unsigned int *count);
+/*
+ * Compresses the whole list once for all routers that need it at about the same
+ * time. packed belongs to gw and is valid until the next call.
+ */
+int pb_pack_list(struct pb_gateway *gw, struct pb_str *packed);
+/* Replaces a compressed list by its entries; returns false if it is broken. */
+bool pb_unpack_list(struct change_answer *answer);
+/* Appends the XDR form of the answer. */
+int pb_encode_answer(struct change_answer *answer, struct pb_buf *buf);
+
 /* gateway-streams.c: stream counts that routers exchange. */
 struct stream_report;
 struct change_question;
@@ -210,7 +229,6 @@
 /* gateway-reports.c: reports on instances that routers exchange. */
 struct load_report;
 struct outcome_report;
-struct change_answer;
 /* Applies another router's answer to a poll that was sent at sent_us. */
 void pb_apply_changes(
     struct pb_gateway *gw, const struct change_answer *answer, int64_t sent_us);
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -67,6 +67,9 @@
 	struct pb_buf routing_text; /* value of the configuration's row */
 	/* routing_text compressed for other routers; empty until needed */
 	struct pb_buf routing_compressed;
+	struct pb_buf packed_list; /* compressed, for starting routers */
+	uint64_t packed_sequence; /* of the registry, of packed_list */
+	int64_t packed_us; /* when packed_list was made */
 	struct pb_registry *registry;
 	struct pb_suspects *suspects;
 	struct pb_instance *store; /* server of the platform's store */
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -35,28 +35,6 @@
 	return ok;
 }
 
-static void
-fill_entry(
-    struct change_entry *e, const struct pb_instance_change *c, int64_t now)
-{
-	const struct pb_instance *inst = c->instance;
-
-	memset(e, 0, sizeof(*e));
-	e->id = (char *)c->id.data;
-	e->gone = inst == NULL;
-	e->service = inst != NULL ? (char *)inst->service : "";
-	e->address = inst != NULL ? (char *)inst->address : "";
-	e->domain = inst != NULL ? (char *)inst->domain : "";
-	if (inst == NULL)
-		return;
-	e->slots = inst->slots;
-	e->draining = inst->draining;
-	e->started_ms = inst->started_ms;
-	if (now < inst->cold_until_us)
-		e->cold_left_ms =
-		    (u_int)((inst->cold_until_us - now) / PB_MSEC);
-}
-
 /* names: room for EVACUATED_MAX pointers. */
 static void
 fill_evacuations(
@@ -95,24 +73,6 @@
 	return routers;
 }
 
-static int
-encode_answer(struct change_answer *answer, struct pb_buf *buf)
-{
-	u_long size = xdr_sizeof((xdrproc_t)xdr_change_answer, answer);
-	char *data = malloc(size);
-	XDR xdr;
-	int rc = PB_ENOMEM;
-
-	if (data == NULL)
-		return rc;
-	xdrmem_create(&xdr, data, (u_int)size, XDR_ENCODE);
-	if (xdr_change_answer(&xdr, answer))
-		rc = pb_append_buf(buf, data, xdr_getpos(&xdr));
-	xdr_destroy(&xdr);
-	free(data);
-	return rc;
-}
-
 /*
  * Finds the sequence after which the polling router needs changes. Returns
  * false if it needs the full list. A router that has not polled this one before
@@ -144,8 +104,7 @@
 	struct crash_report crashes[CRASHES_MAX];
 	change_text evacuated[EVACUATED_MAX];
 	uint64_t *routers;
-	struct pb_instance_change *changes;
-	size_t i, n;
+	struct pb_str packed = PB_STR_NONE;
 	int rc;
 
 	answer.epoch = pb_registry_epoch(gw->registry);
@@ -168,22 +127,15 @@
 	answer.crashes.crashes_len = pb_fill_crashes(gw, crashes);
 	fill_evacuations(gw, &answer, evacuated);
 	routers = fill_routers(gw, q, &answer);
-	n = pb_read_changes(gw->registry, since, answer.full, NULL, 0);
-	changes = calloc(n + 1, sizeof(*changes));
-	answer.entries.entries_val =
-	    calloc(n + 1, sizeof(*answer.entries.entries_val));
-	if (changes == NULL || answer.entries.entries_val == NULL) {
-		rc = PB_ENOMEM;
-		goto out;
-	}
-	pb_read_changes(gw->registry, since, answer.full, changes, n);
-	for (i = 0; i < n; i++)
-		fill_entry(&answer.entries.entries_val[i], &changes[i],
-		    pb_now(gw->ctx));
-	answer.entries.entries_len = (u_int)n;
-	rc = encode_answer(&answer, buf);
-out:
-	free(changes);
+	if (answer.full)
+		rc = pb_pack_list(gw, &packed);
+	else
+		rc = pb_fill_entries(gw, since, false,
+		    &answer.entries.entries_val, &answer.entries.entries_len);
+	answer.packed.packed_val = (char *)packed.data;
+	answer.packed.packed_len = (u_int)packed.len;
+	if (rc == PB_OK)
+		rc = pb_encode_answer(&answer, buf);
 	free(answer.entries.entries_val);
 	free(routers);
 	return rc;
