Leave a router that has become far from the store

Cause: a follower keeps its peer as long as that answers. Each router that joins as the first one adds a hop to the data of all others, without a limit.

Change: an answer states through how many routers its data has passed. A follower with more than one hop too many chooses its peer again, from the current list of routers, at most each 10 s. The encoding of polls moves to gateway-entries.c.

Run: test-order, gateway-fleet-start, gateway-start, gateway-store passed. The new choice was not seen in a run of real processes; test-order covers when it is made.

--- a/include/poplarbeam/order.h
+++ b/include/poplarbeam/order.h
@@ -21,6 +21,13 @@
 /* Returns the position of the router that the one at position follows. */
 size_t pb_order_parent(size_t position, size_t count);
 
+/*
+ * Returns true if the data passes through so many routers that it may become
+ * too old. One hop more than intended is accepted: after a new first router has
+ * joined, the former one follows it.
+ */
+bool pb_is_too_far(unsigned int hops, size_t count);
+
 enum pb_start_step {
 	PB_START_WAIT, /* poll the same peer again */
 	PB_START_AWAIT_ROWS, /* read the list of routers again first */
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -113,6 +113,7 @@
 		u_int entries_len;
 		change_entry *entries_val;
 	} entries;
+	u_int hops;
 	struct {
 		u_int packed_len;
 		char *packed_val;
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -87,6 +87,7 @@
 	hyper routing_age;
 	hyper instances_age;
 	change_entry entries<>;
+	unsigned int hops;	/* routers that the data has passed through */
 	opaque packed<>;	/* a change_list, compressed, if full is set */
 	hyper clock;		/* of the answering process, microseconds */
 	load_report reports<LOAD_REPORTS_MAX>; /* newer than reports_since */
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -161,6 +161,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, ~0,
 		sizeof (change_entry), (xdrproc_t) xdr_change_entry))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hops))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->packed.packed_val, (u_int *) &objp->packed.packed_len, ~0))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->clock))
--- a/source/gateway/gateway-entries.c
+++ b/source/gateway/gateway-entries.c
@@ -10,6 +10,10 @@
  */
 #define PACKED_AGE_MAX_US PB_SEC
 #define LIST_MAX (16 << 20) /* bytes of an uncompressed list */
+/* Maximum size of a poll with all its reports, in bytes. */
+#define POLL_MAX                                                    \
+	((LOAD_REPORTS_MAX + OUTCOMES_MAX) * 12 + STREAMS_MAX * 8 + \
+	    CRASHES_MAX * 16 + 72)
 
 static void
 fill_entry(
@@ -141,3 +145,40 @@
 	answer->entries.entries_len = list.entries.entries_len;
 	return true;
 }
+
+int
+pb_append_poll(struct pb_gateway *gw, const char *address,
+    struct change_question *question, int64_t reported_us, struct pb_buf *buf)
+{
+	struct load_report reports[LOAD_REPORTS_MAX];
+	struct outcome_report outcomes[OUTCOMES_MAX];
+	struct stream_report streams[STREAMS_MAX];
+	struct crash_report crashes[CRASHES_MAX];
+	struct change_question q = *question;
+	char body[POLL_MAX];
+	XDR xdr;
+	u_int n = 0;
+	int rc;
+
+	q.routing_row = gw->routing_row;
+	q.list_row = pb_list_version(gw->registry);
+	q.routers_row = pb_routers_version(gw->registry);
+	q.reports.reports_val = reports;
+	pb_fill_load_reports(
+	    gw, reported_us, true, reports, &q.reports.reports_len);
+	q.outcomes.outcomes_val = outcomes;
+	q.outcomes.outcomes_len = pb_fill_unsent_outcomes(gw, outcomes);
+	q.crashes.crashes_val = crashes;
+	q.crashes.crashes_len = pb_fill_crashes(gw, crashes);
+	q.streams.streams_val = streams;
+	q.streams.streams_len = pb_fill_streams(gw, false, NULL, streams);
+	xdrmem_create(&xdr, body, sizeof(body), XDR_ENCODE);
+	if (xdr_change_question(&xdr, &q))
+		n = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	rc = pb_append_fmt(buf,
+	    "POST " PB_CHANGES_PATH " HTTP/1.1\r\nHost: %s\r\n"
+	    "Content-Length: %u\r\n\r\n",
+	    address, n);
+	return rc == PB_OK ? pb_append_buf(buf, body, n) : rc;
+}
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -6,8 +6,8 @@
 
 /*
  * In each failure domain, the router with the lowest hash reads the store and
- * the other routers poll it. The number of calls to the store then grows with
- * the number of failure domains instead of the number of routers.
+ * the others poll it, or poll routers that do (order.h). The number of calls to
+ * the store then grows with the failure domains instead of the routers.
  */
 
 /*
@@ -22,10 +22,7 @@
 #define START_AVOID_US PB_SEC
 /* Routers after it in order that the first router asks at startup. */
 #define LATER_MAX 16
-/*
- * Time before the list of routers is read again after the start. The routers of
- * a starting fleet write their rows in this time.
- */
+/* Routers that start together write their rows in this time. */
 #define RELIST_DELAY_US PB_SEC
 /* Time between polls of a router that is starting as well. */
 #define STARTING_PAUSE_US (40 * PB_MSEC)
@@ -39,7 +36,7 @@
  * answers within 250 ms.
  */
 #define LATE_ANSWER_US (500 * PB_MSEC)
-/* Answer data that arrives within this time of the poll extends the timeout. */
+/* Data that arrives within this time of the poll extends the timeout. */
 #define BODY_LIMIT_US (4 * PB_SEC)
 #define ROUTING_MAX (16 << 20) /* bytes */
 #define RETRY_US (100 * PB_MSEC)
@@ -47,10 +44,8 @@
 #define POLL_PAUSE_US (50 * PB_MSEC)
 #define NO_PEER_RETRY_US (2 * PB_SEC)
 #define ROUTER_REFRESH_US (8 * PB_SEC)
-/* Maximum size of a poll with all its reports, in bytes. */
-#define POLL_MAX                                                    \
-	((LOAD_REPORTS_MAX + OUTCOMES_MAX) * 12 + STREAMS_MAX * 8 + \
-	    CRASHES_MAX * 16 + 72)
+/* Minimum time between two changes of a peer that is far from the store. */
+#define RECHOOSE_US (10 * PB_SEC)
 /*
  * How long a router that gave no usable answer is avoided. The time doubles
  * with each consecutive poll without an answer, up to a factor of 64, because
@@ -88,6 +83,8 @@
 	int asked_later; /* startup: polled routers that come after this one */
 	int64_t listed_us; /* when the routers were first listed; 0: not yet */
 	int64_t silent_us; /* startup: time spent on peers without an answer */
+	unsigned int hops; /* from the store to this router while following */
+	int64_t rechosen_us; /* when a peer far from the store was left */
 	int64_t router_refresh_us; /* last refresh while reading the store */
 	bool relisted; /* the list was requested again after the start */
 };
@@ -103,6 +100,12 @@
 	    follower->peer->hash < follower->own_hash;
 }
 
+unsigned int
+pb_follow_hops(const struct pb_follower *follower)
+{
+	return pb_is_following(follower) ? follower->hops : 0;
+}
+
 bool
 pb_has_source(const struct pb_follower *follower)
 {
@@ -227,6 +230,7 @@
 	f->reports_since = a->clock;
 	f->epoch = a->epoch;
 	f->since = a->sequence;
+	f->hops = a->hops + 1;
 	f->routing_outdated = a->routing_row > gw->routing_row;
 	if (a->routing_row == gw->routing_row)
 		pb_note_routing_fresh(gw, f->sent_us - a->routing_age);
@@ -245,6 +249,29 @@
 	pb_pause_watch(gw->instance_watch);
 }
 
+/*
+ * Chooses another peer if this one has become too far from the store, because
+ * it follows routers that have joined. Returns false if there is no other one.
+ */
+static bool
+leave_far_peer(struct pb_follower *f)
+{
+	struct pb_gateway *gw = f->gw;
+	int64_t now = pb_now(gw->ctx);
+
+	if (!pb_is_too_far(f->hops, pb_count_domain_routers(gw)) ||
+	    f->routing_outdated || now - f->rechosen_us < RECHOOSE_US ||
+	    is_store_unavailable(gw) ||
+	    pb_preceding_router(gw, &f->routers, f->own_hash) == f->peer)
+		return false;
+	f->rechosen_us = now;
+	leave_peer(f, 0, "too far from the store");
+	switch_to_store(f);
+	f->relisted = false;
+	pb_set_timer(f->timer, 1);
+	return true;
+}
+
 static void
 handle_changes(struct pb_follower *f, const struct change_answer *a)
 {
@@ -272,6 +299,8 @@
 		drop_peer(f, "the store is available");
 		return;
 	}
+	if (leave_far_peer(f))
+		return;
 	if (!f->following)
 		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
 		    "followed instead of the store; %u entries, instances "
@@ -459,46 +488,19 @@
     on_head, on_body, on_done, on_failed};
 
 static int
-append_poll(struct pb_follower *f, struct pb_buf *buf)
+append_request(struct pb_follower *f, struct pb_buf *buf)
 {
-	struct load_report reports[LOAD_REPORTS_MAX];
-	struct outcome_report outcomes[OUTCOMES_MAX];
-	struct stream_report streams[STREAMS_MAX];
-	struct crash_report crashes[CRASHES_MAX];
 	struct change_question q = {.epoch = f->epoch,
 	    .since = f->since,
-	    .routing_row = f->gw->routing_row,
-	    .list_row = pb_list_version(f->gw->registry),
-	    .routers_row = pb_routers_version(f->gw->registry),
-	    .reports_since = f->reports_since,
-	    .reports = {0, reports},
-	    .outcomes = {0, outcomes},
-	    .streams = {0, streams},
-	    .crashes = {0, crashes}};
-	char body[POLL_MAX];
-	XDR xdr;
-	u_int n = 0;
-	int rc;
+	    .reports_since = f->reports_since};
+	int64_t reported_us = f->reported_us;
 
 	if (f->fetching_routing)
 		return pb_append_fmt(buf,
 		    "GET " PB_ROUTING_PATH " HTTP/1.1\r\nHost: %s\r\n\r\n",
 		    f->peer->address);
-	pb_fill_load_reports(
-	    f->gw, f->reported_us, true, reports, &q.reports.reports_len);
-	q.outcomes.outcomes_len = pb_fill_unsent_outcomes(f->gw, outcomes);
-	q.crashes.crashes_len = pb_fill_crashes(f->gw, crashes);
-	q.streams.streams_len = pb_fill_streams(f->gw, false, NULL, streams);
 	f->reported_us = f->sent_us;
-	xdrmem_create(&xdr, body, sizeof(body), XDR_ENCODE);
-	if (xdr_change_question(&xdr, &q))
-		n = xdr_getpos(&xdr);
-	xdr_destroy(&xdr);
-	rc = pb_append_fmt(buf,
-	    "POST " PB_CHANGES_PATH " HTTP/1.1\r\nHost: %s\r\n"
-	    "Content-Length: %u\r\n\r\n",
-	    f->peer->address, n);
-	return rc == PB_OK ? pb_append_buf(buf, body, n) : rc;
+	return pb_append_poll(f->gw, f->peer->address, &q, reported_us, buf);
 }
 
 static void
@@ -515,7 +517,7 @@
 	f->give_up_us =
 	    f->sent_us + (f->starting ? START_ANSWER_US : ANSWER_LIMIT_US);
 	arm_poll_timer(f);
-	if (link == NULL || append_poll(f, &buf) != PB_OK ||
+	if (link == NULL || append_request(f, &buf) != PB_OK ||
 	    pb_send_call(link, &f->call, (struct pb_str){buf.data, buf.len},
 		PB_STR_NONE) != PB_OK) {
 		pb_cancel_call(&f->call);
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -157,6 +157,11 @@
  * hashes. The data of that router replaces the store's and may be passed on.
  */
 bool pb_is_following(const struct pb_follower *follower);
+/*
+ * Returns the number of routers through which the data has passed to this one;
+ * 0: from the store.
+ */
+unsigned int pb_follow_hops(const struct pb_follower *follower);
 /*
  * Returns true if this router, which is starting, reads the store or waits for
  * one that does.
@@ -182,8 +187,9 @@
 /* Answers held polls when there are changes or the hold time is over. */
 void pb_answer_held_polls(struct pb_gateway *gw);
 
-/* gateway-entries.c: entries of the list of instances in messages. */
+/* gateway-entries.c: polls, and entries of the list of instances. */
 struct change_entry;
+struct change_question;
 struct change_answer;
 /*
  * Stores an allocated array of the entries that changed after the sequence
@@ -198,6 +204,13 @@
 int pb_pack_list(struct pb_gateway *gw, struct pb_str *packed);
 /* Replaces a compressed list by its entries; returns false if it is broken. */
 bool pb_unpack_list(struct change_answer *answer);
+/*
+ * Appends the request of a poll. epoch, since and reports_since of the question
+ * are set; the rest is filled in. reported_us: own reports up to this time are
+ * left out.
+ */
+int pb_append_poll(struct pb_gateway *gw, const char *address,
+    struct change_question *question, int64_t reported_us, struct pb_buf *buf);
 /* Appends the XDR form of the answer. */
 int pb_encode_answer(struct change_answer *answer, struct pb_buf *buf);
 
--- a/source/gateway/gateway-order.c
+++ b/source/gateway/gateway-order.c
@@ -44,6 +44,12 @@
 	return position == 0 ? 0 : (position - 1) / pb_order_width(count);
 }
 
+bool
+pb_is_too_far(unsigned int hops, size_t count)
+{
+	return hops > (unsigned int)pb_order_levels(count) + 1;
+}
+
 enum pb_start_step
 pb_decide_start(const struct pb_start_facts *facts)
 {
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -110,6 +110,7 @@
 	answer.epoch = pb_registry_epoch(gw->registry);
 	answer.sequence = pb_registry_sequence(gw->registry);
 	answer.full = !find_since(gw->registry, q, &since);
+	answer.hops = pb_follow_hops(gw->follower);
 	answer.routing_row = gw->routing_row;
 	answer.list_row = pb_list_version(gw->registry);
 	answer.routing_age = conn->held_us - gw->routing_fresh_us;
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -50,6 +50,20 @@
 	}
 }
 
+/*
+ * Guards against chains that grow with each router that joins as the first one,
+ * and against routers that change their peer without need.
+ */
+static void
+test_too_far(void)
+{
+	CU_ASSERT_FALSE(pb_is_too_far(1, 20));
+	CU_ASSERT_FALSE(pb_is_too_far(2, 20));
+	CU_ASSERT_TRUE(pb_is_too_far(3, 20));
+	CU_ASSERT_FALSE(pb_is_too_far(3, 60));
+	CU_ASSERT_TRUE(pb_is_too_far(4, 60));
+}
+
 static enum pb_start_step
 decide(int64_t elapsed_us, int64_t silent_us, bool starting, bool precedes,
     bool has_source, bool awaits_rows)
@@ -111,7 +125,7 @@
 main(void)
 {
 	CU_TestInfo tests[] = {{"levels", test_levels},
-	    {"small domain", test_small_domain},
+	    {"small domain", test_small_domain}, {"too far", test_too_far},
 	    {"starting peer", test_starting_peer},
 	    {"later peer", test_later_peer},
 	    {"silent peers", test_silent_peers}, CU_TEST_INFO_NULL};
