--- a/tests/scripts/gateway-fleet-start.sh
+++ b/tests/scripts/gateway-fleet-start.sh
@@ -2,7 +2,8 @@
 # rows that routers that are gone have left. Guards against store reads that
 # grow with routers times instances: 35 of 36 routers read the whole list when
 # all were killed and started again, and each router listed all routers twice.
-# Guards against one router that sends the whole list to all others.
+# Guards against one router that sends the whole list to all others, and against
+# changes that do not reach the routers of the second level.
 cd "$(dirname "$0")/../.." || exit 2
 FLEET_SPAN=500
 . tests/lib/gateway-lib.sh
@@ -50,12 +51,40 @@
 	echo "followers of one: $(check_range 1 16 "$(most_followed)" routers)"
 }
 
-kill_all() { for n in $all; do kill -KILL "$(pid_of "g$n")"; done; }
+kill_all() {
+	for n in $all; do kill -KILL "$(pid_of "g$n")" 2>/dev/null; done
+}
 
 start_together "first start"
 kill_all
 start_together "after a loss of all"
 
+# Two levels: changes pass through one router on their way to most others, also
+# after the first router was killed.
+request_status() { send_request "$1" p /safe/ok | sed 's/.* //'; }
+all_answer() {
+	local n
+	for n in $all; do [ "$(request_status "$n")" = "$1" ] || return 1; done
+}
+before=$(count_store_calls)
+sleep 4
+echo "calm: $(check_range 4 24 $(($(count_store_calls) - before)) calls)"
+apply_config 2 other-key
+await 3 all_answer 401 && echo "change in force everywhere"
+first=$(grep -L 'followed instead' "$FLEET_DIR"/g*.out |
+    grep -o 'g[0-9]*.out' | grep -o '[0-9]*' | head -1)
+instances_before=$(count_pages servers)
+kill -KILL "$(pid_of "g$first")"
+all=$(seq $routers | grep -vx "$first")
+apply_config 3
+await 5 all_answer 200 && echo "first router killed: change in force"
+announce_backend 1 app draining 2
+await 3 all_answer 503 && echo "instance left everywhere"
+announce_backend 1 app ready 3
+echo "instances: $(check_range 0 0 \
+    $(($(count_pages servers) - instances_before)) pages)"
+all=$(seq $routers)
+
 # Rows of routers that are gone: as many as there are routers, of the same
 # domain and at addresses that refuse connections.
 kill_all
