--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -119,6 +119,11 @@
 		u_int entries_len;
 		change_entry *entries_val;
 	} entries;
+	u_int hops;
+	struct {
+		u_int packed_len;
+		char *packed_val;
+	} packed;
 	quad_t clock;
 	struct {
 		u_int reports_len;
@@ -153,6 +158,14 @@
 };
 typedef struct change_answer change_answer;
 
+struct change_list {
+	struct {
+		u_int entries_len;
+		change_entry *entries_val;
+	} entries;
+};
+typedef struct change_list change_list;
+
 struct router_row {
 	change_text domain;
 	change_text address;
@@ -172,6 +185,7 @@
 extern  bool_t xdr_evacuation_end (XDR *, evacuation_end*);
 extern  bool_t xdr_change_question (XDR *, change_question*);
 extern  bool_t xdr_change_answer (XDR *, change_answer*);
+extern  bool_t xdr_change_list (XDR *, change_list*);
 extern  bool_t xdr_router_row (XDR *, router_row*);
 
 #else /* K&R C */
@@ -185,6 +199,7 @@
 extern bool_t xdr_evacuation_end ();
 extern bool_t xdr_change_question ();
 extern bool_t xdr_change_answer ();
+extern bool_t xdr_change_list ();
 extern bool_t xdr_router_row ();
 
 #endif /* K&R C */
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -6,36 +6,26 @@
 
 /*
  * In each failure domain, the router with the lowest hash reads the store and
- * the other routers poll it. The number of calls to the store then grows with
- * the number of failure domains instead of the number of routers.
+ * the others poll it, or poll routers that do (order.h). The number of calls to
+ * the store then grows with the failure domains instead of the routers.
  */
 
 /*
- * At startup, a router lists the routers and polls the first of them. If the
- * list or the answer does not arrive within these times, it reads the store:
- * after an outage of all routers, the first one may be gone or may start last.
- */
-#define START_LIMIT_US (250 * PB_MSEC)
-#define START_ANSWER_US (100 * PB_MSEC)
-/*
- * How long this router, at startup, avoids one that did not answer. It polls
- * that router again soon because START_ANSWER_US is short.
+ * At startup, a router lists the routers and polls the one that it follows. If
+ * the list does not arrive within this time, it reads the store.
  */
+#define START_LIST_US PB_SEC
+/* A router that is gone does not accept the connection; others may be busy. */
+#define START_CONNECT_US (100 * PB_MSEC)
+#define START_ANSWER_US (400 * PB_MSEC)
+/* How long this router, at startup, avoids one that did not answer. */
 #define START_AVOID_US PB_SEC
-/*
- * Time before the list of routers is read again after the start. The routers of
- * a starting fleet write their rows in this time.
- */
+/* Routers after it in order that the first router asks at startup. */
+#define LATER_MAX 16
+/* Routers that start together write their rows in this time. */
 #define RELIST_DELAY_US PB_SEC
-/*
- * A polled router may itself be starting; it is then polled again for up to
- * STARTING_LIMIT_US. A fleet that starts for the first time has no callers yet,
- * so this router only waits STARTING_PAUSE_US between polls. Otherwise it reads
- * the store meanwhile and waits RESTART_PAUSE_US.
- */
+/* Time between polls of a router that is starting as well. */
 #define STARTING_PAUSE_US (40 * PB_MSEC)
-#define STARTING_LIMIT_US (1500 * PB_MSEC)
-#define RESTART_PAUSE_US (200 * PB_MSEC)
 /* Time for the store to return the list of routers. */
 #define LIST_ANSWER_US (300 * PB_MSEC)
 #define ANSWER_LIMIT_US (1100 * PB_MSEC)
@@ -46,7 +36,7 @@
  * answers within 250 ms.
  */
 #define LATE_ANSWER_US (500 * PB_MSEC)
-/* Answer data that arrives within this time of the poll extends the timeout. */
+/* Data that arrives within this time of the poll extends the timeout. */
 #define BODY_LIMIT_US (4 * PB_SEC)
 #define ROUTING_MAX (16 << 20) /* bytes */
 #define RETRY_US (100 * PB_MSEC)
@@ -54,10 +44,8 @@
 #define POLL_PAUSE_US (50 * PB_MSEC)
 #define NO_PEER_RETRY_US (2 * PB_SEC)
 #define ROUTER_REFRESH_US (8 * PB_SEC)
-/* Maximum size of a poll with all its reports, in bytes. */
-#define POLL_MAX                                                    \
-	((LOAD_REPORTS_MAX + OUTCOMES_MAX) * 12 + STREAMS_MAX * 8 + \
-	    CRASHES_MAX * 16 + 72)
+/* Minimum time between two changes of a peer that is far from the store. */
+#define RECHOOSE_US (10 * PB_SEC)
 /*
  * How long a router that gave no usable answer is avoided. The time doubles
  * with each consecutive poll without an answer, up to a factor of 64, because
@@ -91,13 +79,19 @@
 	bool first_start; /* the list of routers had no row of this router */
 	bool awaiting_rows; /* waiting for other routers to write their rows */
 	bool peer_is_starting; /* according to its last answer */
-	int64_t peer_starting_us; /* first answer of a starting peer; 0: none */
+	bool peer_has_source; /* it reads the store or waits for a reader */
+	int asked_later; /* startup: polled routers that come after this one */
+	int64_t listed_us; /* when the routers were first listed; 0: not yet */
+	int64_t silent_us; /* startup: time spent on peers without an answer */
+	unsigned int hops; /* from the store to this router while following */
+	int64_t rechosen_us; /* when a peer far from the store was left */
 	int64_t router_refresh_us; /* last refresh while reading the store */
 	bool relisted; /* the list was requested again after the start */
 };
 
 static void poll_peer(struct pb_follower *f);
-static void drop_peer(struct pb_follower *f, const char *why);
+static bool poll_next_peer(struct pb_follower *f);
+static void take_start_step(struct pb_follower *f, const char *why);
 
 bool
 pb_is_following(const struct pb_follower *follower)
@@ -106,10 +100,17 @@
 	    follower->peer->hash < follower->own_hash;
 }
 
+unsigned int
+pb_follow_hops(const struct pb_follower *follower)
+{
+	return pb_is_following(follower) ? follower->hops : 0;
+}
+
 bool
-pb_is_routing_outdated(const struct pb_follower *follower)
+pb_has_source(const struct pb_follower *follower)
 {
-	return follower->routing_outdated;
+	return !follower->starting ||
+	    (follower->peer != NULL && follower->peer_has_source);
 }
 
 /* Reads the store instead of polling a peer. */
@@ -133,6 +134,43 @@
 		r->unanswered_count = 0;
 }
 
+/* Stops polling the peer and avoids it for us microseconds. */
+static void
+leave_peer(struct pb_follower *f, int64_t us, const char *why)
+{
+	struct pb_gateway *gw = f->gw;
+
+	f->epoch = 0;
+	f->routing_outdated = false;
+	if (f->peer == NULL)
+		return;
+	if (us > 0)
+		pb_note_unreachable_for(gw->ctx, f->peer, us);
+	pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL, "%s%s",
+	    f->following ? "no longer followed: " : "", why);
+	pb_drop_instance(f->peer);
+	f->peer = NULL;
+}
+
+/* Leaves the peer and reads the store, or at startup asks the next peer. */
+static void
+drop_peer_for(struct pb_follower *f, int64_t us, const char *why)
+{
+	if (f->starting) {
+		take_start_step(f, why);
+		return;
+	}
+	leave_peer(f, us, why);
+	pb_set_timer(f->timer, f->relisted ? RETRY_US : RELIST_DELAY_US);
+	switch_to_store(f);
+}
+
+static void
+drop_peer(struct pb_follower *f, const char *why)
+{
+	drop_peer_for(f, AVOID_US, why);
+}
+
 /*
  * Drops a peer that gave no answer and avoids it for twice as long as the last
  * time.
@@ -141,37 +179,17 @@
 drop_silent_peer(struct pb_follower *f, const char *why)
 {
 	struct pb_router *r = pb_find_router(&f->routers, f->peer);
-	struct pb_instance *router = f->peer;
 	int64_t us = AVOID_US;
 
+	f->peer_is_starting = false;
 	if (f->starting) {
-		us = START_AVOID_US;
+		f->silent_us += pb_now(f->gw->ctx) - f->sent_us;
 	} else if (r != NULL) {
 		us <<= r->unanswered_count;
 		if (r->unanswered_count < AVOID_SHIFT_MAX)
 			r->unanswered_count++;
 	}
-	drop_peer(f, why);
-	if (r != NULL)
-		pb_note_unreachable_for(f->gw->ctx, router, us);
-}
-
-static void
-drop_peer(struct pb_follower *f, const char *why)
-{
-	struct pb_gateway *gw = f->gw;
-
-	if (f->peer != NULL) {
-		pb_note_unreachable_for(gw->ctx, f->peer, AVOID_US);
-		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
-		    "%s%s", f->following ? "no longer followed: " : "", why);
-		pb_drop_instance(f->peer);
-		f->peer = NULL;
-	}
-	f->epoch = 0;
-	f->routing_outdated = false;
-	pb_set_timer(f->timer, f->relisted ? RETRY_US : RELIST_DELAY_US);
-	switch_to_store(f);
+	drop_peer_for(f, us, why);
 }
 
 /* Returns true while the store does not serve this router. */
@@ -214,6 +232,7 @@
 	f->reports_since = a->clock;
 	f->epoch = a->epoch;
 	f->since = a->sequence;
+	f->hops = a->hops + 1;
 	f->routing_outdated = a->routing_row > gw->routing_row;
 	if (a->routing_row == gw->routing_row)
 		pb_note_routing_fresh(gw, f->sent_us - a->routing_age);
@@ -232,6 +251,29 @@
 	pb_pause_watch(gw->instance_watch);
 }
 
+/*
+ * Chooses another peer if this one has become too far from the store, because
+ * it follows routers that have joined. Returns false if there is no other one.
+ */
+static bool
+leave_far_peer(struct pb_follower *f)
+{
+	struct pb_gateway *gw = f->gw;
+	int64_t now = pb_now(gw->ctx);
+
+	if (!pb_is_too_far(f->hops, pb_count_domain_routers(gw)) ||
+	    f->routing_outdated || now - f->rechosen_us < RECHOOSE_US ||
+	    is_store_unavailable(gw) ||
+	    pb_preceding_router(gw, &f->routers, f->own_hash) == f->peer)
+		return false;
+	f->rechosen_us = now;
+	leave_peer(f, 0, "too far from the store");
+	switch_to_store(f);
+	f->relisted = false;
+	pb_set_timer(f->timer, 1);
+	return true;
+}
+
 static void
 handle_changes(struct pb_follower *f, const struct change_answer *a)
 {
@@ -253,10 +295,14 @@
 		return;
 	}
 	apply_answer(f, a);
-	if (f->peer->hash >= f->own_hash && !is_store_unavailable(gw)) {
-		drop_peer(f, "the store is available again");
+	f->starting = false;
+	if (f->peer->hash >= f->own_hash && !f->routing_outdated &&
+	    !is_store_unavailable(gw)) {
+		drop_peer(f, "the store is available");
 		return;
 	}
+	if (leave_far_peer(f))
+		return;
 	if (!f->following)
 		pb_log(gw->ctx, PB_INFO, "follow router", f->peer->id, NULL,
 		    "followed instead of the store; %u entries, instances "
@@ -264,7 +310,6 @@
 		    a->entries.entries_len,
 		    (long long)(a->instances_age / PB_MSEC));
 	f->following = true;
-	f->starting = false;
 	f->reads_store_too = false;
 	if (pb_is_following(f))
 		pause_watches(gw);
@@ -284,6 +329,8 @@
 
 	if (pb_is_following(f) && !f->reads_store_too && late < at)
 		at = late;
+	if (f->starting && !pb_is_sent(&f->call))
+		at = f->sent_us + START_CONNECT_US;
 	pb_set_timer(f->timer, at > now ? at - now : 1);
 }
 
@@ -297,6 +344,8 @@
 
 	f->status = h->status;
 	f->peer_is_starting = pb_find_http_field(h, "Retry-After").data != NULL;
+	f->peer_has_source =
+	    pb_find_http_field(h, PB_SOURCE_FIELD).data != NULL;
 	snprintf(text, sizeof(text), "%.*s", (int)tag.len,
 	    tag.len > 0 ? tag.data : "");
 	f->routing_row = strtoll(text, NULL, 10);
@@ -346,28 +395,52 @@
 	pb_set_timer(f->timer, POLL_PAUSE_US);
 }
 
-/*
- * Handles an answer from a peer that is itself starting. Returns false if the
- * peer has been starting for too long.
- */
-static bool
-handle_starting_peer(struct pb_follower *f)
+/* Polls the next router, or reads the store if there is none. */
+static void
+start_with_next_peer(struct pb_follower *f)
 {
-	int64_t now = pb_now(f->gw->ctx);
+	if (poll_next_peer(f))
+		return;
+	/*
+	 * This router starts for the first time, and perhaps the whole fleet
+	 * does. A router that precedes it may not have written its row yet.
+	 */
+	f->awaiting_rows = f->first_start && !f->relisted;
+	if (!f->awaiting_rows)
+		switch_to_store(f);
+	pb_set_timer(f->timer, RELIST_DELAY_US);
+}
 
-	if (f->peer_starting_us == 0)
-		f->peer_starting_us = now;
-	if (now - f->peer_starting_us > STARTING_LIMIT_US)
-		return false;
-	if (f->first_start) {
+/* Continues the startup after a poll that brought no data. */
+static void
+take_start_step(struct pb_follower *f, const char *why)
+{
+	struct pb_start_facts facts = {
+	    .elapsed_us = pb_now(f->gw->ctx) - f->listed_us,
+	    .silent_us = f->silent_us,
+	    .peer_is_starting = f->peer_is_starting,
+	    .peer_precedes = f->peer->hash < f->own_hash,
+	    .peer_has_source = f->peer_has_source,
+	    .awaits_rows = f->first_start && !f->relisted};
+
+	switch (pb_decide_start(&facts)) {
+	case PB_START_WAIT:
 		pb_set_timer(f->timer, STARTING_PAUSE_US);
-		return true;
+		break;
+	case PB_START_AWAIT_ROWS:
+		leave_peer(f, 0, why);
+		f->awaiting_rows = true;
+		pb_set_timer(f->timer, RELIST_DELAY_US);
+		break;
+	case PB_START_NEXT_PEER:
+		leave_peer(f, START_AVOID_US, why);
+		pb_set_timer(f->timer, 1);
+		break;
+	case PB_START_READ_STORE:
+		leave_peer(f, f->peer_is_starting ? 0 : START_AVOID_US, why);
+		switch_to_store(f);
+		pb_set_timer(f->timer, RELIST_DELAY_US);
 	}
-	switch_to_store(f);
-	f->starting = true;
-	f->relisted = true;
-	pb_set_timer(f->timer, RESTART_PAUSE_US);
-	return true;
 }
 
 static void
@@ -379,9 +452,11 @@
 
 	evtimer_del(f->timer);
 	reset_unanswered_count(f);
-	if (f->starting && f->status == 503 && f->peer_is_starting &&
-	    handle_starting_peer(f))
+	if (f->starting && f->status == 503 && f->peer_is_starting) {
+		take_start_step(f, "it is starting");
 		return;
+	}
+	f->peer_is_starting = false;
 	if (f->status != 200 || f->answer.len == 0) {
 		drop_peer(f, "it returned no usable answer");
 		return;
@@ -392,7 +467,7 @@
 	}
 	memset(&answer, 0, sizeof(answer));
 	xdrmem_create(&xdr, f->answer.data, (u_int)f->answer.len, XDR_DECODE);
-	if (xdr_change_answer(&xdr, &answer))
+	if (xdr_change_answer(&xdr, &answer) && pb_unpack_list(&answer))
 		handle_changes(f, &answer);
 	else
 		drop_peer(f, "its answer could not be decoded");
@@ -415,46 +490,19 @@
     on_head, on_body, on_done, on_failed};
 
 static int
-append_poll(struct pb_follower *f, struct pb_buf *buf)
+append_request(struct pb_follower *f, struct pb_buf *buf)
 {
-	struct load_report reports[LOAD_REPORTS_MAX];
-	struct outcome_report outcomes[OUTCOMES_MAX];
-	struct stream_report streams[STREAMS_MAX];
-	struct crash_report crashes[CRASHES_MAX];
 	struct change_question q = {.epoch = f->epoch,
 	    .since = f->since,
-	    .routing_row = f->gw->routing_row,
-	    .list_row = pb_list_version(f->gw->registry),
-	    .routers_row = pb_routers_version(f->gw->registry),
-	    .reports_since = f->reports_since,
-	    .reports = {0, reports},
-	    .outcomes = {0, outcomes},
-	    .streams = {0, streams},
-	    .crashes = {0, crashes}};
-	char body[POLL_MAX];
-	XDR xdr;
-	u_int n = 0;
-	int rc;
+	    .reports_since = f->reports_since};
+	int64_t reported_us = f->reported_us;
 
 	if (f->fetching_routing)
 		return pb_append_fmt(buf,
 		    "GET " PB_ROUTING_PATH " HTTP/1.1\r\nHost: %s\r\n\r\n",
 		    f->peer->address);
-	pb_fill_load_reports(
-	    f->gw, f->reported_us, true, reports, &q.reports.reports_len);
-	q.outcomes.outcomes_len = pb_fill_unsent_outcomes(f->gw, outcomes);
-	q.crashes.crashes_len = pb_fill_crashes(f->gw, crashes);
-	q.streams.streams_len = pb_fill_streams(f->gw, false, NULL, streams);
 	f->reported_us = f->sent_us;
-	xdrmem_create(&xdr, body, sizeof(body), XDR_ENCODE);
-	if (xdr_change_question(&xdr, &q))
-		n = xdr_getpos(&xdr);
-	xdr_destroy(&xdr);
-	rc = pb_append_fmt(buf,
-	    "POST " PB_CHANGES_PATH " HTTP/1.1\r\nHost: %s\r\n"
-	    "Content-Length: %u\r\n\r\n",
-	    f->peer->address, n);
-	return rc == PB_OK ? pb_append_buf(buf, body, n) : rc;
+	return pb_append_poll(f->gw, f->peer->address, &q, reported_us, buf);
 }
 
 static void
@@ -471,7 +519,7 @@
 	f->give_up_us =
 	    f->sent_us + (f->starting ? START_ANSWER_US : ANSWER_LIMIT_US);
 	arm_poll_timer(f);
-	if (link == NULL || append_poll(f, &buf) != PB_OK ||
+	if (link == NULL || append_request(f, &buf) != PB_OK ||
 	    pb_send_call(link, &f->call, (struct pb_str){buf.data, buf.len},
 		PB_STR_NONE) != PB_OK) {
 		pb_cancel_call(&f->call);
@@ -481,20 +529,36 @@
 }
 
 /*
- * Polls the first router that precedes this one or, while the store does not
- * serve this router, the first router of the failure domain. Returns false if
- * there is none or if this router is stopping.
+ * Returns the next router to poll, or NULL. While the store does not serve this
+ * router, that is the first router of the failure domain. The first router asks
+ * others at startup, which may have the data.
  */
+static struct pb_instance *
+find_peer(struct pb_follower *f)
+{
+	struct pb_gateway *gw = f->gw;
+	struct pb_instance *peer = NULL;
+
+	if (!is_store_unavailable(gw)) {
+		peer = pb_preceding_router(gw, &f->routers, f->own_hash);
+		if (peer != NULL || !f->starting ||
+		    f->asked_later++ >= LATER_MAX)
+			return peer;
+	}
+	return pb_first_router(
+	    gw, &f->routers, gw->settings.domain, UINT64_MAX);
+}
+
+/* Returns false if there is no peer to poll or if this router is stopping. */
 static bool
-poll_first_peer(struct pb_follower *f)
+poll_next_peer(struct pb_follower *f)
 {
-	uint64_t limit = is_store_unavailable(f->gw) ? UINT64_MAX : f->own_hash;
-	struct pb_instance *peer =
-	    pb_first_router(f->gw, &f->routers, f->gw->settings.domain, limit);
+	struct pb_instance *peer = find_peer(f);
 
 	if (peer == NULL || f->gw->stop_us != 0)
 		return false;
 	f->peer = pb_keep_instance(peer);
+	f->peer_has_source = false;
 	f->epoch = 0;
 	f->since = 0;
 	f->reports_since = 0;
@@ -502,10 +566,7 @@
 	return true;
 }
 
-/*
- * Lists the routers regularly while this one reads the store: a router that has
- * joined may precede it.
- */
+/* Finds routers that have joined and may precede this one. */
 static void
 refresh_router_list(struct pb_follower *f)
 {
@@ -514,7 +575,7 @@
 	if (now - f->router_refresh_us < ROUTER_REFRESH_US)
 		return;
 	f->router_refresh_us = now;
-	pb_request_listing(f->gw->router_watch);
+	pb_request_changes(f->gw->router_watch);
 }
 
 /* Checks a poll that has no complete answer yet. */
@@ -524,7 +585,9 @@
 	struct pb_gateway *gw = f->gw;
 	int64_t waited = pb_now(gw->ctx) - f->sent_us;
 
-	if (pb_now(gw->ctx) >= f->give_up_us) {
+	if (pb_now(gw->ctx) >= f->give_up_us ||
+	    (f->starting && waited >= START_CONNECT_US &&
+		!pb_is_sent(&f->call))) {
 		pb_cancel_call(&f->call);
 		drop_silent_peer(f, "the poll timed out");
 		return;
@@ -559,8 +622,12 @@
 	if (f->awaiting_rows) {
 		f->awaiting_rows = false;
 		f->relisted = true;
-		pb_request_listing(f->gw->router_watch);
-		pb_set_timer(f->timer, LIST_ANSWER_US);
+		pb_request_changes(f->gw->router_watch);
+		pb_set_timer(f->timer, START_LIST_US);
+		return;
+	}
+	if (f->starting && f->listed_us != 0) {
+		start_with_next_peer(f);
 		return;
 	}
 	if (f->starting) {
@@ -570,11 +637,11 @@
 	}
 	if (!f->relisted) {
 		f->relisted = true;
-		pb_request_listing(f->gw->router_watch);
+		pb_request_changes(f->gw->router_watch);
 		pb_set_timer(f->timer, LIST_ANSWER_US);
 		return;
 	}
-	if (poll_first_peer(f))
+	if (poll_next_peer(f))
 		return;
 	refresh_router_list(f);
 	pb_set_timer(f->timer, NO_PEER_RETRY_US);
@@ -596,20 +663,11 @@
 	follower->routers.listed = true;
 	if (!follower->starting)
 		pb_fetch_crashes(follower->gw->crash_fetch);
-	if (!follower->starting || follower->awaiting_rows ||
-	    follower->peer != NULL || poll_first_peer(follower))
-		return;
-	/*
-	 * This router starts for the first time, and perhaps the whole fleet
-	 * does. A router that precedes it may not have written its row yet.
-	 */
-	if (follower->first_start && !follower->relisted) {
-		follower->awaiting_rows = true;
-		pb_set_timer(follower->timer, RELIST_DELAY_US);
-		return;
-	}
-	switch_to_store(follower);
-	pb_set_timer(follower->timer, RELIST_DELAY_US);
+	if (follower->listed_us == 0)
+		follower->listed_us = pb_now(follower->gw->ctx);
+	if (follower->starting && !follower->awaiting_rows &&
+	    follower->peer == NULL)
+		start_with_next_peer(follower);
 }
 
 struct pb_follower *
@@ -628,7 +686,7 @@
 		return NULL;
 	}
 	f->starting = true;
-	pb_set_timer(f->timer, START_LIMIT_US);
+	pb_set_timer(f->timer, START_LIST_US);
 	return f;
 }
 
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -2,6 +2,7 @@
 #define GATEWAY_FOLLOW_H
 
 #include "gateway-internal.h"
+#include "poplarbeam/order.h"
 
 /*
  * What is known of configuration, instances and other routers: read from the
@@ -72,8 +73,11 @@
 void pb_pause_watch(struct pb_watch *watch);
 /* Sends a request at once if the watch was paused. */
 void pb_resume_watch(struct pb_watch *watch);
-/* Starts a full listing as soon as possible, even if the watch is paused. */
-void pb_request_listing(struct pb_watch *watch);
+/*
+ * Requests the changes since the last response at once unless a request is in
+ * progress, even if the watch is paused.
+ */
+void pb_request_changes(struct pb_watch *watch);
 
 /* gateway-state.c: applies rows of the store and records their age. */
 extern const struct pb_watch_ops pb_routing_watch_ops;
@@ -133,6 +137,15 @@
  * at the time of the listing.
  */
 void pb_share_router_hashes(struct pb_gateway *gw, int64_t version);
+/*
+ * Returns the router of the own failure domain that a router with this hash
+ * follows, or NULL if it is the first. Routers that are avoided as unreachable
+ * are left out.
+ */
+struct pb_instance *pb_preceding_router(struct pb_gateway *gw,
+    const struct pb_router_list *list, uint64_t own_hash);
+/* Counts this router and the other known ones of its failure domain. */
+size_t pb_count_domain_routers(const struct pb_gateway *gw);
 /* Counts this router and all other known ones, of all failure domains. */
 size_t pb_count_routers(const struct pb_gateway *gw);
 void pb_clear_routers(struct pb_router_list *list);
@@ -145,8 +158,16 @@
  * hashes. The data of that router replaces the store's and may be passed on.
  */
 bool pb_is_following(const struct pb_follower *follower);
-/* Returns true if the followed router has a newer configuration. */
-bool pb_is_routing_outdated(const struct pb_follower *follower);
+/*
+ * Returns the number of routers through which the data has passed to this one;
+ * 0: from the store.
+ */
+unsigned int pb_follow_hops(const struct pb_follower *follower);
+/*
+ * Returns true if this router, which is starting, reads the store or waits for
+ * one that does.
+ */
+bool pb_has_source(const struct pb_follower *follower);
 /* Returns the list of other routers, to which rows are applied. */
 struct pb_router_list *pb_known_routers(struct pb_follower *follower);
 /* Called when all rows of a listing of routers are applied. */
@@ -161,10 +182,39 @@
 #define PB_CHANGES_PATH "/changes"
 #define PB_ROUTING_PATH "/routing"
 #define PB_STREAMS_PATH "/streams"
+/* Field of a refusal by a starting router for which pb_has_source holds. */
+#define PB_SOURCE_FIELD "Data-Source"
 extern const struct pb_conn_ops pb_peer_ops;
 /* Answers held polls when there are changes or the hold time is over. */
 void pb_answer_held_polls(struct pb_gateway *gw);
 
+/* gateway-entries.c: polls, and entries of the list of instances. */
+struct change_entry;
+struct change_question;
+struct change_answer;
+/*
+ * Stores an allocated array of the entries that changed after the sequence
+ * since, or of all, which the caller frees. Its texts belong to the registry.
+ */
+int pb_fill_entries(struct pb_gateway *gw, uint64_t since, bool full,
+    struct change_entry **entries, unsigned int *count);
+/*
+ * Compresses the whole list once for all routers that need it at about the same
+ * time. packed belongs to gw and is valid until the next call.
+ */
+int pb_pack_list(struct pb_gateway *gw, struct pb_str *packed);
+/* Replaces a compressed list by its entries; returns false if it is broken. */
+bool pb_unpack_list(struct change_answer *answer);
+/*
+ * Appends the request of a poll. epoch, since and reports_since of the question
+ * are set; the rest is filled in. reported_us: own reports up to this time are
+ * left out.
+ */
+int pb_append_poll(struct pb_gateway *gw, const char *address,
+    struct change_question *question, int64_t reported_us, struct pb_buf *buf);
+/* Appends the XDR form of the answer. */
+int pb_encode_answer(struct change_answer *answer, struct pb_buf *buf);
+
 /* gateway-streams.c: stream counts that routers exchange. */
 struct stream_report;
 struct change_question;
@@ -193,19 +243,18 @@
 /* gateway-reports.c: reports on instances that routers exchange. */
 struct load_report;
 struct outcome_report;
-struct change_answer;
 /* Applies another router's answer to a poll that was sent at sent_us. */
 void pb_apply_changes(
     struct pb_gateway *gw, const struct change_answer *answer, int64_t sent_us);
 /*
  * Fill load reports for another router, or apply those of another router. If
- * own is true, only loads that this router received from instances are filled
- * in.
+ * own is true, loads that this router received from the followed router are
+ * left out. of_follower: the reports are of a router that polls this one.
  */
 void pb_fill_load_reports(struct pb_gateway *gw, int64_t since_us, bool own,
     struct load_report *reports, unsigned int *count);
 void pb_apply_load_reports(struct pb_gateway *gw,
-    const struct load_report *reports, unsigned int count);
+    const struct load_report *reports, unsigned int count, bool of_follower);
 /*
  * Fill up to OUTCOMES_MAX reports and return their number. The first function
  * reports this router's own outcomes, each only once; the second one reports
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -35,28 +35,6 @@
 	return ok;
 }
 
-static void
-fill_entry(
-    struct change_entry *e, const struct pb_instance_change *c, int64_t now)
-{
-	const struct pb_instance *inst = c->instance;
-
-	memset(e, 0, sizeof(*e));
-	e->id = (char *)c->id.data;
-	e->gone = inst == NULL;
-	e->service = inst != NULL ? (char *)inst->service : "";
-	e->address = inst != NULL ? (char *)inst->address : "";
-	e->domain = inst != NULL ? (char *)inst->domain : "";
-	if (inst == NULL)
-		return;
-	e->slots = inst->slots;
-	e->draining = inst->draining;
-	e->started_ms = inst->started_ms;
-	if (now < inst->cold_until_us)
-		e->cold_left_ms =
-		    (u_int)((inst->cold_until_us - now) / PB_MSEC);
-}
-
 static void
 fill_evacuation_ends(
     struct pb_gateway *gw, struct change_answer *answer, evacuation_end *ends)
@@ -111,24 +89,6 @@
 	return routers;
 }
 
-static int
-encode_answer(struct change_answer *answer, struct pb_buf *buf)
-{
-	u_long size = xdr_sizeof((xdrproc_t)xdr_change_answer, answer);
-	char *data = malloc(size);
-	XDR xdr;
-	int rc = PB_ENOMEM;
-
-	if (data == NULL)
-		return rc;
-	xdrmem_create(&xdr, data, (u_int)size, XDR_ENCODE);
-	if (xdr_change_answer(&xdr, answer))
-		rc = pb_append_buf(buf, data, xdr_getpos(&xdr));
-	xdr_destroy(&xdr);
-	free(data);
-	return rc;
-}
-
 /*
  * Finds the sequence after which the polling router needs changes. Returns
  * false if it needs the full list. A router that has not polled this one before
@@ -161,13 +121,13 @@
 	change_text evacuated[EVACUATED_MAX];
 	evacuation_end ended[EVACUATED_MAX];
 	uint64_t *routers;
-	struct pb_instance_change *changes;
-	size_t i, n;
+	struct pb_str packed = PB_STR_NONE;
 	int rc;
 
 	answer.epoch = pb_registry_epoch(gw->registry);
 	answer.sequence = pb_registry_sequence(gw->registry);
 	answer.full = !find_since(gw->registry, q, &since);
+	answer.hops = pb_follow_hops(gw->follower);
 	answer.routing_row = gw->routing_row;
 	answer.list_row = pb_list_version(gw->registry);
 	answer.routing_age = conn->held_us - gw->routing_fresh_us;
@@ -186,22 +146,15 @@
 	fill_evacuations(gw, &answer, evacuated);
 	fill_evacuation_ends(gw, &answer, ended);
 	routers = fill_routers(gw, q, &answer);
-	n = pb_read_changes(gw->registry, since, answer.full, NULL, 0);
-	changes = calloc(n + 1, sizeof(*changes));
-	answer.entries.entries_val =
-	    calloc(n + 1, sizeof(*answer.entries.entries_val));
-	if (changes == NULL || answer.entries.entries_val == NULL) {
-		rc = PB_ENOMEM;
-		goto out;
-	}
-	pb_read_changes(gw->registry, since, answer.full, changes, n);
-	for (i = 0; i < n; i++)
-		fill_entry(&answer.entries.entries_val[i], &changes[i],
-		    pb_now(gw->ctx));
-	answer.entries.entries_len = (u_int)n;
-	rc = encode_answer(&answer, buf);
-out:
-	free(changes);
+	if (answer.full)
+		rc = pb_pack_list(gw, &packed);
+	else
+		rc = pb_fill_entries(gw, since, false,
+		    &answer.entries.entries_val, &answer.entries.entries_len);
+	answer.packed.packed_val = (char *)packed.data;
+	answer.packed.packed_len = (u_int)packed.len;
+	if (rc == PB_OK)
+		rc = pb_encode_answer(&answer, buf);
 	free(answer.entries.entries_val);
 	free(routers);
 	return rc;
@@ -252,27 +205,44 @@
 	if (gw->routing == NULL || pb_list_version(gw->registry) == 0 ||
 	    gw->stop_us != 0)
 		return false;
+	/* The ages tell a follower if this router's data is outdated. */
 	if (pb_is_following(gw->follower))
-		return !pb_is_routing_outdated(gw->follower);
+		return true;
 	return !pb_is_watch_failing(gw->routing_watch) &&
 	    !pb_is_watch_failing(gw->instance_watch);
 }
 
 /*
- * Refuses a request. Adds a Retry-After field if this router is starting and
- * will soon have the data.
+ * Returns true if this router is starting and will soon have the data. A long
+ * listing is outdated when it is complete, until the store has confirmed it.
  */
+static bool
+is_starting(const struct pb_gateway *gw)
+{
+	int64_t age = pb_now(gw->ctx) - gw->instances_fresh_us;
+
+	if (gw->stop_us != 0)
+		return false;
+	if (gw->routing == NULL || pb_list_version(gw->registry) == 0)
+		return true;
+	return age > PB_INSTANCES_AGE_MAX_US &&
+	    !pb_is_watch_failing(gw->instance_watch);
+}
+
+/* Refuses a request. Adds a Retry-After field if this router is starting. */
 static void
 refuse_request(struct pb_conn *conn)
 {
 	const struct pb_gateway *gw = conn->gw;
-	bool starting = gw->stop_us == 0 &&
-	    (gw->routing == NULL || pb_list_version(gw->registry) == 0);
+	static const char waiting[] = "Retry-After: 0\r\n";
+	static const char reading[] =
+	    "Retry-After: 0\r\n" PB_SOURCE_FIELD ": store\r\n";
+	const char *fields = "";
 
+	if (is_starting(gw))
+		fields = pb_has_source(gw->follower) ? reading : waiting;
 	conn->held_us = 0;
-	pb_send_response(conn, 503,
-	    starting ? pb_str_from("Retry-After: 0\r\n") : PB_STR_NONE,
-	    PB_STR_NONE);
+	pb_send_response(conn, 503, pb_str_from(fields), PB_STR_NONE);
 }
 
 /*
@@ -357,8 +327,14 @@
 		pb_send_response(conn, 400, PB_STR_NONE, PB_STR_NONE);
 		return;
 	}
+	if (q.list_row == 0 && is_starting(gw)) {
+		refuse_request(conn);
+		free_question(&q);
+		return;
+	}
 	conn->held_us = pb_now(gw->ctx);
-	pb_apply_load_reports(gw, q.reports.reports_val, q.reports.reports_len);
+	pb_apply_load_reports(
+	    gw, q.reports.reports_val, q.reports.reports_len, true);
 	pb_add_outcomes(gw, q.outcomes.outcomes_val, q.outcomes.outcomes_len);
 	pb_apply_crashes(gw, q.crashes.crashes_val, q.crashes.crashes_len);
 	pb_replace_peer_streams(conn, PB_PEER_OWN_DOMAIN, q.streams.streams_val,
