--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -122,6 +122,7 @@
 	f->reads_store_too = false;
 	pb_resume_watch(f->gw->routing_watch);
 	pb_resume_watch(f->gw->instance_watch);
+	pb_fetch_crashes(f->gw->crash_fetch);
 }
 
 static void
@@ -170,10 +171,7 @@
 	drop_peer_for(f, AVOID_US, why);
 }
 
-/*
- * Drops a peer that gave no answer and avoids it for twice as long as the last
- * time.
- */
+/* Drops a peer that gave no answer; avoids it twice as long as the last time. */
 static void
 drop_silent_peer(struct pb_follower *f, const char *why)
 {
@@ -199,10 +197,7 @@
 	    pb_is_watch_failing(gw->instance_watch);
 }
 
-/*
- * Returns true if the peer's list is older than this router's, which has read
- * the store while the answer was late.
- */
+/* Returns true if this router has read a newer list while the answer was late. */
 static bool
 is_answer_outdated(const struct pb_follower *f, const struct change_answer *a)
 {
@@ -227,6 +222,7 @@
 	struct pb_gateway *gw = f->gw;
 
 	pb_apply_changes(gw, a, f->sent_us);
+	pb_end_crash_fetch(gw->crash_fetch);
 	f->reports_since = a->clock;
 	f->epoch = a->epoch;
 	f->since = a->sequence;
@@ -658,6 +654,9 @@
 		pb_start_announcer(follower->gw->announcer);
 		follower->first_start = true;
 	}
+	follower->routers.listed = true;
+	if (!follower->starting)
+		pb_fetch_crashes(follower->gw->crash_fetch);
 	if (follower->listed_us == 0)
 		follower->listed_us = pb_now(follower->gw->ctx);
 	if (follower->starting && !follower->awaiting_rows &&
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -35,6 +35,22 @@
 	return ok;
 }
 
+static void
+fill_evacuation_ends(
+    struct pb_gateway *gw, struct change_answer *answer, evacuation_end *ends)
+{
+	const struct pb_evacuation_end *list;
+	size_t i, n = pb_read_evacuation_ends(gw->ctx, gw->registry, &list);
+
+	for (i = 0; i < n && i < EVACUATED_MAX; i++) {
+		ends[i].domain = (char *)list[i].domain;
+		ends[i].age_ms =
+		    (u_int)((pb_now(gw->ctx) - list[i].end_us) / PB_MSEC);
+	}
+	answer->ended.ended_val = ends;
+	answer->ended.ended_len = (u_int)i;
+}
+
 /* names: room for EVACUATED_MAX pointers. */
 static void
 fill_evacuations(
@@ -103,6 +119,7 @@
 	struct stream_report streams[STREAMS_MAX];
 	struct crash_report crashes[CRASHES_MAX];
 	change_text evacuated[EVACUATED_MAX];
+	evacuation_end ended[EVACUATED_MAX];
 	uint64_t *routers;
 	struct pb_str packed = PB_STR_NONE;
 	int rc;
@@ -127,6 +144,7 @@
 	answer.crashes.crashes_val = crashes;
 	answer.crashes.crashes_len = pb_fill_crashes(gw, crashes);
 	fill_evacuations(gw, &answer, evacuated);
+	fill_evacuation_ends(gw, &answer, ended);
 	routers = fill_routers(gw, q, &answer);
 	if (answer.full)
 		rc = pb_pack_list(gw, &packed);
@@ -289,6 +307,10 @@
 	struct pb_str target = pb_http_target(&conn->reader.head);
 	struct change_question q;
 
+	if (pb_str_equal_c(target, PB_CRASHES_PATH)) {
+		pb_send_crashes(conn);
+		return;
+	}
 	if (!is_up_to_date(gw)) {
 		refuse_request(conn);
 		return;
