--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -171,7 +171,7 @@
 	drop_peer_for(f, AVOID_US, why);
 }
 
-/* Drops a peer that gave no answer; avoids it twice as long as the last time. */
+/* Drops a peer that gave no answer; avoids it for longer each time. */
 static void
 drop_silent_peer(struct pb_follower *f, const char *why)
 {
@@ -197,7 +197,7 @@
 	    pb_is_watch_failing(gw->instance_watch);
 }
 
-/* Returns true if this router has read a newer list while the answer was late. */
+/* Returns true if the store sent a newer list while the answer was late. */
 static bool
 is_answer_outdated(const struct pb_follower *f, const struct change_answer *a)
 {
