Let callers of a stopping router come back soon

Cause: a router that stops told callers whose instances had all asked it for a pause to come back when the first pause ends. A pause belongs to one router, and the connection is closed anyway, so that another router may serve at once.

Change: pb_choose_retry_after decides; while stopping, the time is short and random, except for requests that crash instances, which all routers refuse.

--- a/include/poplarbeam/ending.h
+++ b/include/poplarbeam/ending.h
@@ -72,6 +72,14 @@
  */
 bool pb_ends_before(const struct pb_holder *a, const struct pb_holder *b);
 
+/*
+ * Returns when a refused caller may retry, in microseconds from now; 0: after a
+ * short random time. left_us: time until this router accepts the request again,
+ * 0 if unknown. stopping: the router stops, so that another one is asked next.
+ */
+int64_t pb_choose_retry_after(
+    enum pb_end_reason reason, bool stopping, int64_t left_us);
+
 struct pb_ending pb_decide_ending(
     enum pb_end_reason reason, const struct pb_end_state *state);
 /* Returns the text of the reason for the log and the metrics. */
--- a/source/ending/ending-decide.c
+++ b/source/ending/ending-decide.c
@@ -75,3 +75,14 @@
 		return a->account_bytes > b->account_bytes;
 	return a->bytes > b->bytes;
 }
+
+int64_t
+pb_choose_retry_after(enum pb_end_reason reason, bool stopping, int64_t left_us)
+{
+	/* All routers refuse a crashing request, but each has its own pauses.
+	 */
+	bool everywhere =
+	    reason == PB_END_CRASHING_REQUEST || reason == PB_END_CRASHING_PART;
+
+	return stopping && !everywhere ? 0 : left_us;
+}
--- a/source/gateway/gateway-end.c
+++ b/source/gateway/gateway-end.c
@@ -82,14 +82,17 @@
 /*
  * Returns when a refused caller may retry, or 0 after a short random time. If
  * all instances of the service are paused, that is when the first one takes
- * requests again.
+ * requests again at this router.
  */
 static int64_t
-find_retry_after(const struct pb_exchange *x)
+find_retry_after(const struct pb_exchange *x, enum pb_end_reason reason)
 {
-	if (x->retry_after_us != 0)
-		return x->retry_after_us;
-	return pb_reopening_left(x->gw->ctx, x->gw->registry, x->service);
+	int64_t left = x->retry_after_us;
+
+	if (left == 0)
+		left =
+		    pb_reopening_left(x->gw->ctx, x->gw->registry, x->service);
+	return pb_choose_retry_after(reason, x->gw->stop_us != 0, left);
 }
 
 void
@@ -100,7 +103,8 @@
 	struct pb_end_state state = {conn != NULL, may_have_run(x), x->started};
 	struct pb_ending ending = pb_decide_ending(reason, &state);
 	int64_t left = x->deadline_us - pb_now(gw->ctx);
-	int64_t retry_after = ending.status == 503 ? find_retry_after(x) : 0;
+	int64_t retry_after =
+	    ending.status == 503 ? find_retry_after(x, reason) : 0;
 	struct outgoing out = take_response(x);
 
 	x->may_have_run = state.may_have_run;
--- a/tests/scripts/gateway-stop-waits.sh
+++ b/tests/scripts/gateway-stop-waits.sh
@@ -1,6 +1,7 @@
 # Guards against requests that end without an answer in a planned stop: those
 # that wait when it begins or come in it, and those that an instance still runs
-# at its end.
+# at its end. Guards against callers who are told to wait for this router's
+# pauses, although another router may serve them.
 cd "$(dirname "$0")/../.." || exit 2
 . tests/lib/gateway-lib.sh
 begin_report
@@ -18,7 +19,7 @@
 ask() {
 	local name=$1 path=$2
 	shift 2
-	curl -s -m 12 -o /dev/null -H "Host: $route_host" -d x "$@" \
+	curl -s -m 12 -o /dev/null -D "$FLEET_DIR/$name.head" -H "Host: $route_host" -d x "$@" \
 	    -H "X-Poplarbeam-Attempt-Id: $name" \
 	    -H "Authorization: Bearer $account_key" \
 	    -w '%{http_code} %{time_total}\n' "$(gateway_url 1)$path" \
@@ -32,6 +33,12 @@
 	echo "$1: $status $(check_range "$2" "$3" "${time/./}" us)"
 }
 
+# tell_return NAME: prints whether the caller may come back within a second.
+tell_return() {
+	tr -d '\r' <"$FLEET_DIR/$1.head" | awk -v n="$1" -F ': ' \
+	    '$1 == "Retry-After" {print n ": " ($2 <= 1 ? "soon" : $2 " s")}'
+}
+
 # All instances ask for a pause that ends too late for the stop.
 say say-pause/3.5
 send_request 1 first /flow/stream -d x >/dev/null
@@ -46,6 +53,8 @@
 wait $asked
 tell before 0 1000000
 tell after 0 300000
+tell_return before
+tell_return after
 tell short 2500000 6000000
 stop_gateway 1
 
--- a/tests/test-ending.c
+++ b/tests/test-ending.c
@@ -103,11 +103,35 @@
 	}
 }
 
+/*
+ * Guards against callers of a stopping router who wait for its pauses although
+ * other routers may serve them, and against a crashing request that is sent to
+ * the next router at once.
+ */
+static void
+test_retry_after(void)
+{
+	int i;
+
+	for (i = 0; i < PB_END_REASONS; i++) {
+		bool crashing =
+		    i == PB_END_CRASHING_REQUEST || i == PB_END_CRASHING_PART;
+
+		CU_ASSERT_EQUAL(
+		    pb_choose_retry_after((enum pb_end_reason)i, false, 30),
+		    30);
+		CU_ASSERT_EQUAL(
+		    pb_choose_retry_after((enum pb_end_reason)i, true, 30),
+		    crashing ? 30 : 0);
+	}
+}
+
 int
 main(void)
 {
 	static CU_TestInfo tests[] = {{"every ending", test_every_ending},
-	    {"texts", test_texts}, {"order", test_order}, CU_TEST_INFO_NULL};
+	    {"texts", test_texts}, {"order", test_order},
+	    {"retry after", test_retry_after}, CU_TEST_INFO_NULL};
 
 	return run_suite("ending", tests);
 }
