Admit request bodies by rank when memory is short

Cause: room for bodies went to whoever came first. A burst of long bodies of a less urgent route left none for a more urgent call.

Change: the rank is determined when the head is complete, from the route and the account (with several services of a route: from the first one). The least urgent rank leaves a quarter of the buffer limit to the others, ranks between them proportionally less; the most urgent rank and configurations with a single rank have the limits of before. A request that will be refused for its key or route counts as the least urgent.

--- a/include/poplarbeam/ending.h
+++ b/include/poplarbeam/ending.h
@@ -2,6 +2,7 @@
 #define POPLARBEAM_ENDING_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /*
@@ -72,6 +73,13 @@
  */
 bool pb_ends_before(const struct pb_holder *a, const struct pb_holder *b);
 
+/*
+ * Returns the fraction of the buffer limit up to which a request body may fill
+ * the buffers. Part of the limit is kept for short bodies and part for requests
+ * of more urgent ranks. rank: 0 (most urgent) to rank_count - 1.
+ */
+double pb_find_body_share(size_t len, int rank, int rank_count);
+
 /*
  * Returns when a refused caller may retry, in microseconds from now; 0: after a
  * short random time. left_us: time until this router accepts the request again,
--- a/include/poplarbeam/http.h
+++ b/include/poplarbeam/http.h
@@ -99,6 +99,8 @@
  * none. Call from the head callback.
  */
 uint64_t pb_http_body_length(const struct pb_http_reader *reader);
+/* Returns true if the head announces a body. Call from the head callback. */
+bool pb_http_expects_body(const struct pb_http_reader *reader);
 /*
  * Call when the peer has closed the connection. Returns true if the message is
  * complete.
--- a/source/gateway/gateway-conn.c
+++ b/source/gateway/gateway-conn.c
@@ -43,7 +43,7 @@
 
 	if (len == 0 || need < conn->body.cap)
 		return true;
-	return pb_admits_body(conn->gw, need - conn->body.cap) &&
+	return pb_admits_body(conn, need - conn->body.cap) &&
 	    pb_reserve_buf(&conn->body, need) == PB_OK;
 }
 
@@ -59,6 +59,8 @@
 		reader->error = PB_HTTP_BODY_TOO_LARGE;
 		return;
 	}
+	if (pb_http_expects_body(reader) && conn->ops == &pb_caller_ops)
+		pb_read_priority(conn);
 	if (!reserve_body(conn, (size_t)len)) {
 		reader->error = PB_HTTP_NO_ROOM;
 		return;
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -38,6 +38,7 @@
 	struct pb_routing *routing; /* counted reference */
 	const struct pb_route *route;
 	const struct pb_account *account; /* NULL: none */
+	uint64_t account_hash; /* of the account's name; 0: none */
 	struct pb_service_budget *budget;
 	struct pb_waiter waiter; /* entry in the queue for a free slot */
 	int64_t wait_end_us; /* refused at this time if still queued */
@@ -124,8 +125,10 @@
  */
 void pb_wait_for_slot(
     struct pb_exchange *x, const struct pb_placement_facts *facts);
-/* Sets the rank of the exchange. Its route, account and budget must be set. */
-void pb_set_rank(struct pb_exchange *x);
+/* Returns the rank of a request of this route and account (NULL: none). */
+int pb_find_request_rank(struct pb_service_budget *budget,
+    const struct pb_routing *routing, const struct pb_route *route,
+    const struct pb_account *account);
 /*
  * Records whether the response was late. Called when the response has started,
  * or when the request has ended without one.
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -198,6 +198,9 @@
 	struct pb_buf body;
 	struct pb_exchange *exchange; /* NULL: no request in progress */
 	int64_t activity_us; /* last message start or end, or output sent */
+	int rank; /* of the request or the last one; 0: most urgent */
+	int rank_count; /* ranks of its service */
+	uint64_t account; /* hash of its client account; 0: none */
 	int64_t held_us; /* arrival of the poll that is held; 0: none */
 	struct pb_peer_streams *streams; /* counts from the peer, or NULL */
 	int64_t streams_us; /* time of that report */
@@ -251,6 +254,11 @@
 
 /* gateway-request.c: checks a request and starts its exchange. */
 extern const struct pb_conn_ops pb_caller_ops;
+/*
+ * Sets the priority of a caller's request whose head is complete and whose body
+ * is to be received. One that will be refused is the least urgent.
+ */
+void pb_read_priority(struct pb_conn *conn);
 
 /* gateway-ready.c */
 extern const struct pb_conn_ops pb_ready_ops;
@@ -273,9 +281,9 @@
 void pb_update_exchange_memory(struct pb_exchange *x);
 /*
  * Returns true if there is room for a request body that needs len further
- * bytes. Part of the limit is kept for short bodies.
+ * bytes.
  */
-bool pb_admits_body(const struct pb_gateway *gw, size_t len);
+bool pb_admits_body(const struct pb_conn *conn, size_t len);
 /*
  * While the buffered bytes exceed the limit, ends what holds them: first
  * connections that read their response slowly, then requests that are still
--- a/source/gateway/gateway-memory.c
+++ b/source/gateway/gateway-memory.c
@@ -9,10 +9,6 @@
 
 /* Buffers may use memory_mb divided by this. */
 #define BUFFER_SHARE 3
-/* Long bodies may use this fraction of it; the rest is kept for short ones. */
-#define LONG_BODY_SHARE 0.75
-/* A longer body, in bytes, is long. */
-#define SHORT_BODY_MAX 65536
 
 static int64_t
 find_budget(const struct pb_gateway *gw)
@@ -21,12 +17,12 @@
 }
 
 bool
-pb_admits_body(const struct pb_gateway *gw, size_t len)
+pb_admits_body(const struct pb_conn *conn, size_t len)
 {
-	double share = len > SHORT_BODY_MAX ? LONG_BODY_SHARE : 1.0;
+	double share = pb_find_body_share(len, conn->rank, conn->rank_count);
 
-	return (double)gw->buffered + (double)len <=
-	    (double)find_budget(gw) * share;
+	return (double)conn->gw->buffered + (double)len <=
+	    (double)find_budget(conn->gw) * share;
 }
 
 void
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -192,6 +192,23 @@
 	return b;
 }
 
+/* Records the priority of the request on its connection. */
+static void
+set_priority(struct pb_conn *conn, const struct pb_routing *routing,
+    const struct pb_route *route, const struct pb_account *account,
+    struct pb_service_budget *budget)
+{
+	int count;
+
+	conn->rank = pb_find_request_rank(budget, routing, route, account);
+	count = budget->ranks.count;
+	conn->rank_count = count < PB_RANKS ? count : PB_RANKS;
+	conn->account = 0;
+	if (account != NULL)
+		conn->account =
+		    pb_hash(account->name.data, account->name.len, 0);
+}
+
 /* Returns the shorter of the limits of the caller and of the route. */
 static int64_t
 find_time_limit(const struct request *req, const struct pb_route *route)
@@ -229,7 +246,9 @@
 	set_prompt(x, &req->prompt);
 	if (x->budget == NULL)
 		return PB_ENOMEM;
-	pb_set_rank(x);
+	set_priority(x->conn, x->routing, route, account, x->budget);
+	x->rank = x->conn->rank;
+	x->account_hash = x->conn->account;
 	return copy_head(x, req);
 }
 
@@ -272,6 +291,42 @@
 	return gw->settings.strict_revoke == 0 || age < pb_routing_age_max(gw);
 }
 
+/* Returns the account of the request's key, or NULL. */
+static const struct pb_account *
+find_account(const struct pb_routing *routing, const struct request *req)
+{
+	if (!routing->keys_required || !req->has_key)
+		return NULL;
+	return pb_find_key_holder(routing, req->key);
+}
+
+void
+pb_read_priority(struct pb_conn *conn)
+{
+	const struct pb_routing *routing = conn->gw->routing;
+	struct request req = {0};
+	const struct pb_account *account;
+	const struct pb_route *route;
+	struct pb_service_budget *budget;
+
+	conn->rank = PB_RANKS - 1;
+	conn->rank_count = PB_RANKS;
+	conn->account = 0;
+	if (routing == NULL)
+		return;
+	read_fields(conn, &req);
+	route = pb_find_route(
+	    routing, req.host, pb_http_target(&conn->reader.head));
+	account = find_account(routing, &req);
+	if (route == NULL || route->backend_count == 0 ||
+	    (routing->keys_required && !route->public_access &&
+		account == NULL))
+		return;
+	budget = find_budget(conn->gw, route->backends[0].service);
+	if (budget != NULL)
+		set_priority(conn, routing, route, account, budget);
+}
+
 static void
 on_request(struct pb_conn *conn)
 {
@@ -300,8 +355,7 @@
 		reject(conn, &req, 404, "no route matches host and target");
 		return;
 	}
-	if (gw->routing->keys_required && req.has_key)
-		account = pb_find_key_holder(gw->routing, req.key);
+	account = find_account(gw->routing, &req);
 	if (gw->routing->keys_required && !route->public_access) {
 		if (!keys_are_current(gw)) {
 			reject(conn, &req, 503, "keys cannot be confirmed");
--- a/source/gateway/gateway-wait.c
+++ b/source/gateway/gateway-wait.c
@@ -27,18 +27,20 @@
 /* Requests of one rank of a service that wait for the end of a pause. */
 #define PAUSE_WAITERS_MAX 256
 
-void
-pb_set_rank(struct pb_exchange *x)
+int
+pb_find_request_rank(struct pb_service_budget *budget,
+    const struct pb_routing *routing, const struct pb_route *route,
+    const struct pb_account *account)
 {
-	struct pb_service_budget *b = x->budget;
+	struct pb_service_budget *b = budget;
+	int rank;
 
-	if (b->ranks_version != x->routing->version || b->ranks.count == 0) {
-		pb_compute_ranks(x->routing, x->service, &b->ranks);
-		b->ranks_version = x->routing->version;
+	if (b->ranks_version != routing->version || b->ranks.count == 0) {
+		pb_compute_ranks(routing, pb_str_from(b->service), &b->ranks);
+		b->ranks_version = routing->version;
 	}
-	x->rank = pb_rank_of(&b->ranks, x->route, x->account);
-	if (x->rank >= PB_RANKS)
-		x->rank = PB_RANKS - 1;
+	rank = pb_rank_of(&b->ranks, route, account);
+	return rank < PB_RANKS ? rank : PB_RANKS - 1;
 }
 
 /*
--- a/source/http/http-reader.c
+++ b/source/http/http-reader.c
@@ -431,6 +431,13 @@
 	return len == ULLONG_MAX ? 0 : len;
 }
 
+bool
+pb_http_expects_body(const struct pb_http_reader *reader)
+{
+	return (reader->parser.flags & F_CHUNKED) != 0 ||
+	    pb_http_body_length(reader) > 0;
+}
+
 bool
 pb_finish_http(struct pb_http_reader *reader)
 {
--- a/tests/test-ending.c
+++ b/tests/test-ending.c
@@ -103,6 +103,32 @@
 	}
 }
 
+/*
+ * Guards against bodies of less urgent ranks that take all room, and against
+ * room that is kept where the configuration has no ranks.
+ */
+static void
+test_body_share(void)
+{
+	static const size_t lengths[] = {1, 65536, 65537, 4 << 20};
+	size_t i;
+	int rank;
+
+	CU_ASSERT_EQUAL(pb_find_body_share(1000, 0, 0), 1.0);
+	CU_ASSERT_EQUAL(pb_find_body_share(1000, 0, 1), 1.0);
+	CU_ASSERT_EQUAL(pb_find_body_share(4 << 20, 0, 1), 0.75);
+	for (i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+		CU_ASSERT_EQUAL(pb_find_body_share(lengths[i], 0, 10),
+		    pb_find_body_share(lengths[i], 0, 1));
+		for (rank = 1; rank < 10; rank++)
+			CU_ASSERT(pb_find_body_share(lengths[i], rank, 10) <
+			    pb_find_body_share(lengths[i], rank - 1, 10));
+		CU_ASSERT_EQUAL(pb_find_body_share(lengths[i], 9, 3),
+		    pb_find_body_share(lengths[i], 2, 3));
+		CU_ASSERT(pb_find_body_share(lengths[i], 9, 10) >= 0.5);
+	}
+}
+
 /*
  * Guards against callers of a stopping router who wait for its pauses although
  * other routers may serve them, and against a crashing request that is sent to
@@ -131,7 +157,7 @@
 {
 	static CU_TestInfo tests[] = {{"every ending", test_every_ending},
 	    {"texts", test_texts}, {"order", test_order},
-	    {"retry after", test_retry_after}, CU_TEST_INFO_NULL};
+	    {"body share", test_body_share}, {"retry after", test_retry_after}, CU_TEST_INFO_NULL};
 
 	return run_suite("ending", tests);
 }
