Hold streams whose callers read slowly

Cause: the router read a stream as fast as its instance sent it. Above 1 MB of unsent output, or after 1.5 s in which the caller read nothing (the kernel's limit for unacknowledged data also passes while the window of the peer is closed), the connection was closed without a log line. When memory was short, the largest unread response ended, whatever its priority.

Change: a stream with more than 64 KiB of unsent output is not read from its instance until less than 16 KiB are left. While it is held, and for the time that it was held, no silence and no partial event counts; a break after a hold of a second or more is neither a failure of the instance nor a suspected crash, and ends the stream as "caller reads too slowly". A reset by the instance is seen within 100 ms; an orderly end is seen when the caller has read what was sent before it. Accepted connections have no kernel limit for unacknowledged data; the router checks itself whether a peer still answers, and bounds the unsent bytes in the kernel. Above the memory limit, unread responses end first, the least urgent of them first, then those of the largest account. A request that the memory limit has refused while its body was complete is no longer started.

Not shown by a run: that a caller whose host no longer answers is dropped; the kernel's counters were read only for peers that answer but do not read.

--- a/include/poplarbeam/ending.h
+++ b/include/poplarbeam/ending.h
@@ -23,6 +23,7 @@
 	PB_END_ATTEMPT_FAILED,
 	PB_END_TOO_LONG,
 	PB_END_BUFFER_LIMIT,
+	PB_END_SLOW_CALLER, /* did not read its response */
 	PB_END_DRIBBLING,
 	PB_END_NOT_SENT,
 	PB_END_TIMEOUT,
@@ -58,8 +59,9 @@
 	int status;
 };
 
-/* What a request in progress holds when too much is buffered. */
+/* What a request or its response holds when too much is buffered. */
 struct pb_holder {
+	bool unread; /* part of its response waits for its caller to read */
 	bool may_have_run; /* an upstream may have begun to run it */
 	int rank; /* priority of the request; 0: highest */
 	int64_t account_bytes; /* held by all requests of its client account */
@@ -67,9 +69,9 @@
 };
 
 /*
- * Returns true if a is ended rather than b to free memory: requests that have
- * not run go first, then the least urgent ones, then those of the account that
- * holds most, then the largest.
+ * Returns true if a is ended rather than b to free memory: unread responses go
+ * first, and of other requests those that have not run; then the least urgent
+ * ones, then those of the account that holds most, then the largest.
  */
 bool pb_ends_before(const struct pb_holder *a, const struct pb_holder *b);
 
@@ -80,6 +82,33 @@
  */
 double pb_find_body_share(size_t len, int rank, int rank_count);
 
+/* A stream that is held is read again below this length of unsent output. */
+#define PB_RESUME_UNSENT 16384 /* bytes */
+
+/* Returns true if a caller that keeps up leaves less than this unsent. */
+bool pb_is_read_slowly(size_t unsent);
+
+/*
+ * Returns true if a router must not read more of a streamed response while
+ * unsent bytes of it wait for the caller. held: it does not read now.
+ */
+bool pb_must_hold(size_t unsent, bool held);
+
+/* How a router has read the response of one attempt. Times in microseconds. */
+struct pb_backpressure {
+	int64_t held_us; /* not read since then; 0: it is read */
+	int64_t longest_us; /* longest time that it was not read */
+	int64_t resumed_us; /* when it was last read again; 0: never held */
+};
+
+void pb_note_hold(struct pb_backpressure *pressure, int64_t now_us);
+void pb_note_resume(struct pb_backpressure *pressure, int64_t now_us);
+/*
+ * Returns true if an upstream that breaks the connection now may have done so
+ * because its response was not read. That is not its failure.
+ */
+bool pb_is_unread_break(const struct pb_backpressure *pressure, int64_t now_us);
+
 /*
  * Returns when a refused caller may retry, in microseconds from now; 0: after a
  * short random time. left_us: time until this router accepts the request again,
--- a/source/ending/ending-decide.c
+++ b/source/ending/ending-decide.c
@@ -52,6 +52,7 @@
 	    [PB_END_ATTEMPT_FAILED] = "attempt failed",
 	    [PB_END_TOO_LONG] = "too long",
 	    [PB_END_BUFFER_LIMIT] = "too much is buffered",
+	    [PB_END_SLOW_CALLER] = "caller reads too slowly",
 	    [PB_END_DRIBBLING] = "no whole event for too long",
 	    [PB_END_NOT_SENT] = "not sent in time",
 	    [PB_END_TIMEOUT] = "timeout",
@@ -67,7 +68,9 @@
 bool
 pb_ends_before(const struct pb_holder *a, const struct pb_holder *b)
 {
-	if (a->may_have_run != b->may_have_run)
+	if (a->unread != b->unread)
+		return a->unread;
+	if (!a->unread && a->may_have_run != b->may_have_run)
 		return b->may_have_run;
 	if (a->rank != b->rank)
 		return a->rank > b->rank;
--- a/source/gateway/gateway-attempt.c
+++ b/source/gateway/gateway-attempt.c
@@ -112,6 +112,7 @@
 	pb_clear_buf(&x->response);
 	pb_update_exchange_memory(x);
 	x->unusable = false;
+	x->instance_closed = false;
 	x->silence_noted = false;
 	x->attempt_event_us = 0;
 	x->status = 0;
@@ -395,6 +396,8 @@
 handle_broken_attempt(struct pb_exchange *x, bool may_be_crash)
 {
 	x->may_have_run = true;
+	if (pb_end_unread(x))
+		return;
 	pb_note_outcome(x->gw->ctx, x->gw->registry, x->instance, true);
 	if (may_be_crash)
 		pb_note_broken_attempt(x, x->instance);
--- a/source/gateway/gateway-conn.c
+++ b/source/gateway/gateway-conn.c
@@ -20,8 +20,9 @@
 /* A body of unknown length gets room in steps of these sizes, in bytes. */
 #define SHORT_BODY_STEP 4096
 #define LONG_BODY_STEP (4 << 20)
-/* A connection with more unsent bytes of a chunked response is dropped. */
-#define OUTPUT_BACKLOG_MAX (1 << 20) /* bytes */
+/* A peer is lost if this many checks in a row find data unanswered. */
+#define PEER_CHECK_US (500 * PB_MSEC)
+#define UNANSWERED_CHECKS_MAX 3
 /* Time for the caller to close the connection after the last response. */
 #define LINGER_US PB_SEC
 /*
@@ -341,7 +342,8 @@
 	}
 	pb_update_conn_memory(conn);
 	pb_enforce_memory_limit(conn->gw);
-	if (conn->drop_pending || !conn->reader.complete)
+	/* The memory limit may have refused this request. */
+	if (conn->drop_pending || conn->close_after || !conn->reader.complete)
 		return !conn->drop_pending;
 	conn->handling = true;
 	conn->ops->request(conn);
@@ -372,6 +374,9 @@
 	struct pb_conn *conn = arg;
 
 	(void)bev;
+	pb_update_conn_memory(conn);
+	if (conn->exchange != NULL)
+		pb_update_backpressure(conn->exchange);
 	if (conn->close_after && !conn->handling)
 		shut_down_conn(conn);
 }
@@ -399,7 +404,7 @@
 		evutil_closesocket(fd);
 		return;
 	}
-	pb_set_socket_options(fd);
+	pb_set_accepted_options(fd);
 	conn->bev = bufferevent_socket_new(gw->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	if (conn->bev == NULL) {
 		evutil_closesocket(fd);
@@ -414,6 +419,7 @@
 	TAILQ_INSERT_TAIL(&gw->conns, conn, entry);
 	bufferevent_setcb(conn->bev, on_read, on_write, on_event, conn);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, READ_AHEAD_MAX);
+	bufferevent_setwatermark(conn->bev, EV_WRITE, PB_RESUME_UNSENT, 0);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
 
@@ -467,10 +473,35 @@
 	    now - conn->activity_us > limit;
 }
 
+/* Returns true if the peer has not answered for several checks. */
 static bool
-is_output_backlogged(const struct pb_conn *conn)
+is_peer_lost(struct pb_conn *conn, int64_t now)
+{
+	if (now - conn->checked_us < PEER_CHECK_US)
+		return false;
+	conn->checked_us = now;
+	if (pb_has_unanswered_data(bufferevent_getfd(conn->bev)))
+		conn->unanswered_checks++;
+	else
+		conn->unanswered_checks = 0;
+	return conn->unanswered_checks > UNANSWERED_CHECKS_MAX;
+}
+
+/* Closes a connection that is overdue or lost. */
+static void
+close_conn(struct pb_conn *conn, int64_t now)
 {
-	return conn->chunked && conn->output_len > OUTPUT_BACKLOG_MAX;
+	struct pb_gateway *gw = conn->gw;
+
+	if (conn->exchange == NULL && conn->output_len > 0) {
+		pb_log(gw->ctx, PB_INFO, "end connection", NULL, NULL,
+		    "closed: its caller has not read %zu bytes of a response, "
+		    "and nothing for %lld ms",
+		    conn->output_len,
+		    (long long)((now - conn->activity_us) / PB_MSEC));
+		gw->unread_closed++;
+	}
+	pb_drop_conn(conn);
 }
 
 void
@@ -482,8 +513,8 @@
 	for (conn = TAILQ_FIRST(&gw->conns); conn != NULL; conn = next) {
 		next = TAILQ_NEXT(conn, entry);
 		pb_update_conn_memory(conn);
-		if (is_overdue(conn, now) || is_output_backlogged(conn))
-			pb_drop_conn(conn);
+		if (is_overdue(conn, now) || is_peer_lost(conn, now))
+			close_conn(conn, now);
 		else if (is_slow(conn, now))
 			reject_conn(conn, 408);
 	}
--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -71,6 +71,7 @@
 	(void)fd;
 	(void)what;
 	pb_sweep_conns(gw);
+	pb_sweep_holds(gw);
 	pb_enforce_memory_limit(gw);
 	pb_answer_held_polls(gw);
 	pb_expire_instances(gw->ctx, gw->registry);
--- a/source/gateway/gateway-events.c
+++ b/source/gateway/gateway-events.c
@@ -67,6 +67,7 @@
 			x->response_fields.data, x->response_fields.len});
 	}
 	pb_send_response_part(x->conn, (struct pb_str){data, len});
+	pb_update_backpressure(x);
 }
 
 bool
--- a/source/gateway/gateway-exchange.c
+++ b/source/gateway/gateway-exchange.c
@@ -111,6 +111,8 @@
 {
 	int64_t limit = x->route->target_us * STALL_FACTOR;
 
+	if (pb_is_held(&x->call))
+		return INT64_MAX;
 	if (!x->call.link->connected)
 		return x->attempt_us + CONNECT_LIMIT_US;
 	if (x->route->kind == PB_ROUTE_STREAMING && x->route->resumable)
@@ -138,7 +140,7 @@
 	int64_t gaps = x->route->max_gap_us * STREAM_END_GAPS;
 	int64_t limit = targets > gaps ? targets : gaps;
 
-	if (!x->streaming || x->route->target_us == 0)
+	if (!x->streaming || x->route->target_us == 0 || pb_is_held(&x->call))
 		return INT64_MAX;
 	return x->progress_us + (limit > STREAM_END_US ? limit : STREAM_END_US);
 }
@@ -269,7 +271,9 @@
 	 * A request that must not run twice is allowed to complete once it has
 	 * been sent, because cancelling it would leave its outcome unknown.
 	 */
-	if (x->route->kind == PB_ROUTE_NON_IDEMPOTENT && pb_is_sent(&x->call))
+	if (x->route->kind == PB_ROUTE_NON_IDEMPOTENT && pb_is_sent(&x->call)) {
+		pb_end_hold(x);
 		return;
+	}
 	pb_end_exchange(x, PB_END_CALLER_LEFT);
 }
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -92,6 +92,7 @@
 	size_t counted_bytes;
 	bool streaming; /* events are forwarded as they arrive */
 	bool until_close; /* ends with the connection, without a length */
+	bool instance_closed; /* the instance has closed a held response */
 	bool started; /* the response head was sent to the caller */
 	bool unusable; /* not intact, or not the upstream's own response */
 	bool has_last_event;
@@ -211,6 +212,23 @@
 void pb_note_broken_attempt(
     struct pb_exchange *x, struct pb_instance *instance);
 
+/* gateway-pressure.c: callers that read slowly. */
+/*
+ * Stops reading from the instance while the caller does not read, and reads
+ * again when it does. Call when the unsent output may have changed.
+ */
+void pb_update_backpressure(struct pb_exchange *x);
+/* Reads again from the instance. The time since the hold is not its own. */
+void pb_end_hold(struct pb_exchange *x);
+/* Ends the holds of responses that the instance has ended meanwhile. */
+void pb_sweep_holds(struct pb_gateway *gw);
+size_t pb_count_holds(const struct pb_gateway *gw);
+/*
+ * Ends the exchange if the connection broke because the caller did not read;
+ * returns false if that is not the cause.
+ */
+bool pb_end_unread(struct pb_exchange *x);
+
 /* gateway-events.c */
 /*
  * Forwards complete events of the response to the caller. Returns false if an
--- a/source/gateway/gateway-internal.h
+++ b/source/gateway/gateway-internal.h
@@ -88,6 +88,8 @@
 	struct pb_random rnd;
 	int64_t settings_time_ns; /* modification time of the settings file */
 	int64_t buffered; /* bytes of requests and responses in progress */
+	int64_t holds; /* times that a stream was held for its caller */
+	int64_t unread_closed; /* connections closed with an unread response */
 	int64_t unreadable_loads; /* responses with an unreadable load */
 	int64_t broken_attempts; /* connections that broke during an attempt */
 	int64_t leaving_marks; /* instances that said that they are leaving */
@@ -106,6 +108,16 @@
  * peer is detected.
  */
 void pb_set_socket_options(evutil_socket_t fd);
+/*
+ * The same for an accepted connection, whose peer may read nothing for a while:
+ * pb_has_unanswered_data detects a lost peer, and the kernel buffers little.
+ */
+void pb_set_accepted_options(evutil_socket_t fd);
+/*
+ * Returns true if the peer has not answered sent data or several probes yet. A
+ * peer that reads nothing still answers probes.
+ */
+bool pb_has_unanswered_data(evutil_socket_t fd);
 /* Gives the peer more time to read while a long body is sent. */
 void pb_set_long_body(evutil_socket_t fd, bool is_long);
 /* Writes as much as the socket accepts now and queues the rest. */
@@ -138,6 +150,7 @@
 struct pb_link_call {
 	const struct pb_link_call_ops *ops;
 	struct pb_link *link; /* NULL: no request in progress */
+	struct pb_backpressure pressure; /* how its response is read */
 };
 
 struct pb_link {
@@ -177,6 +190,15 @@
 bool pb_is_sent(const struct pb_link_call *call);
 /* Cancels the call, if in progress, and closes its connection. */
 void pb_cancel_call(struct pb_link_call *call);
+/* Stops reading the response, or reads it again. */
+void pb_hold_call(struct pb_link_call *call);
+void pb_resume_call(struct pb_link_call *call);
+bool pb_is_held(const struct pb_link_call *call);
+/*
+ * Returns true if the upstream has closed the connection. What it sent before
+ * may still have to be read.
+ */
+bool pb_has_peer_closed(const struct pb_link_call *call);
 /*
  * Call from the head callback if the response does not belong to this call.
  * Discards it and waits for the next response.
@@ -201,6 +223,8 @@
 	int rank; /* of the request or the last one; 0: most urgent */
 	int rank_count; /* ranks of its service */
 	uint64_t account; /* hash of its client account; 0: none */
+	int64_t checked_us; /* last check for a lost peer */
+	int unanswered_checks; /* checks in a row with unanswered data */
 	int64_t held_us; /* arrival of the poll that is held; 0: none */
 	struct pb_peer_streams *streams; /* counts from the peer, or NULL */
 	int64_t streams_us; /* time of that report */
@@ -245,8 +269,8 @@
 void pb_refuse_body(struct pb_conn *conn);
 void pb_drop_conn(struct pb_conn *conn);
 /*
- * Drops connections that are idle or lingering for too long or have too much
- * unsent output, and rejects requests that arrive too slowly.
+ * Drops connections that are idle or lingering for too long or whose peer is
+ * lost, and rejects requests that arrive too slowly.
  */
 void pb_sweep_conns(struct pb_gateway *gw);
 /* Closes idle connections unless they were used very recently. */
@@ -285,10 +309,8 @@
  */
 bool pb_admits_body(const struct pb_conn *conn, size_t len);
 /*
- * While the buffered bytes exceed the limit, ends what holds them: first
- * connections that read their response slowly, then requests that are still
- * being received, then requests in progress. Any exchange may have ended after
- * the call.
+ * While the buffered bytes exceed the limit, ends what holds them, in the order
+ * of pb_ends_before. Any exchange may have ended after the call.
  */
 void pb_enforce_memory_limit(struct pb_gateway *gw);
 /*
--- a/source/gateway/gateway-link.c
+++ b/source/gateway/gateway-link.c
@@ -1,6 +1,7 @@
 #include "gateway-internal.h"
 
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -167,6 +168,7 @@
 {
 	struct pb_link_call *call = link->call;
 
+	pb_resume_call(call);
 	link->call = NULL;
 	call->link = NULL;
 	if (is_reusable(link))
@@ -343,6 +345,7 @@
 
 	link->call = call;
 	call->link = link;
+	call->pressure = (struct pb_backpressure){0};
 	link->no_body = head.len > n && memcmp(head.data, method, n) == 0;
 	link->reader.no_body = link->no_body;
 	if (bufferevent_write(link->bev, head.data, head.len) != 0 ||
@@ -376,6 +379,42 @@
 	pb_drop_link(link);
 }
 
+void
+pb_hold_call(struct pb_link_call *call)
+{
+	if (call->link == NULL || pb_is_held(call))
+		return;
+	bufferevent_disable(call->link->bev, EV_READ);
+	pb_note_hold(&call->pressure, pb_now(call->link->gw->ctx));
+}
+
+void
+pb_resume_call(struct pb_link_call *call)
+{
+	if (!pb_is_held(call))
+		return;
+	pb_note_resume(&call->pressure, pb_now(call->link->gw->ctx));
+	bufferevent_enable(call->link->bev, EV_READ);
+}
+
+bool
+pb_is_held(const struct pb_link_call *call)
+{
+	return call->link != NULL && call->pressure.held_us != 0;
+}
+
+bool
+pb_has_peer_closed(const struct pb_link_call *call)
+{
+	struct pollfd p = {0};
+
+	if (call->link == NULL)
+		return false;
+	p.fd = bufferevent_getfd(call->link->bev);
+	p.events = POLLRDHUP;
+	return poll(&p, 1, 0) > 0;
+}
+
 void
 pb_skip_response(struct pb_link_call *call)
 {
--- a/source/gateway/gateway-memory.c
+++ b/source/gateway/gateway-memory.c
@@ -9,6 +9,11 @@
 
 /* Buffers may use memory_mb divided by this. */
 #define BUFFER_SHARE 3
+/*
+ * Accounts are told apart by a hash modulo this. Accounts that share a slot are
+ * counted together.
+ */
+#define ACCOUNT_SLOTS 1024
 
 static int64_t
 find_budget(const struct pb_gateway *gw)
@@ -48,90 +53,126 @@
 	x->counted_bytes = held;
 }
 
+/* What may be ended to free memory: a connection, or a request without one. */
+struct candidate {
+	struct pb_conn *conn; /* NULL: the caller has left */
+	struct pb_exchange *x; /* NULL: no request in progress */
+	struct pb_holder holder;
+};
+
 static int64_t
-count_bytes(const struct pb_exchange *x)
+count_bytes(const struct pb_conn *conn, const struct pb_exchange *x)
 {
-	return (int64_t)x->counted_bytes +
-	    (x->conn != NULL ? (int64_t)x->conn->counted_bytes : 0);
+	return (conn != NULL ? (int64_t)conn->counted_bytes : 0) +
+	    (x != NULL ? (int64_t)x->counted_bytes : 0);
 }
 
-/* Counts what all requests in progress of the exchange's account hold. */
-static int64_t
-count_account_bytes(const struct pb_exchange *x)
+/* Returns the slot of the client account; 0: no account. */
+static size_t
+find_slot(uint64_t account)
 {
-	const struct pb_exchange *other;
-	int64_t sum = 0;
+	return account == 0 ? 0 : 1 + account % (ACCOUNT_SLOTS - 1);
+}
 
-	for (other = TAILQ_FIRST(&x->gw->exchanges); other != NULL;
-	     other = TAILQ_NEXT(other, entry)) {
-		if (other->account != NULL && x->account != NULL &&
-		    pb_str_equal(other->account->name, x->account->name))
-			sum += count_bytes(other);
-	}
-	return sum;
+/* Returns true if the body of a request is being received. */
+static bool
+is_receiving(const struct pb_conn *conn)
+{
+	return !conn->handling && !conn->close_after && conn->reader.started &&
+	    conn->body.cap > 0;
 }
 
-/* Returns the request in progress that is ended first, or NULL. */
-static struct pb_exchange *
-find_first_holder(struct pb_gateway *gw)
+static void
+consider(struct candidate *best, const struct candidate *c)
 {
-	struct pb_exchange *x, *first = NULL;
-	struct pb_holder best = {0};
+	if (c->holder.bytes > 0 &&
+	    (best->holder.bytes == 0 ||
+		pb_ends_before(&c->holder, &best->holder)))
+		*best = *c;
+}
 
-	for (x = TAILQ_FIRST(&gw->exchanges); x != NULL;
-	     x = TAILQ_NEXT(x, entry)) {
-		struct pb_holder h = {x->may_have_run || pb_is_sent(&x->call),
-		    x->rank, count_account_bytes(x), count_bytes(x)};
-
-		if (h.bytes == 0 ||
-		    (first != NULL && !pb_ends_before(&h, &best)))
-			continue;
-		first = x;
-		best = h;
-	}
-	return first;
+/* Considers a connection without a request in progress. */
+static void
+consider_conn(
+    struct candidate *best, const int64_t *account_bytes, struct pb_conn *conn)
+{
+	bool has_response = conn->output_len > 0 && !conn->reading;
+	struct candidate c = {conn, NULL,
+	    {.unread = has_response && pb_is_read_slowly(conn->output_len),
+		.may_have_run = has_response,
+		.rank = conn->rank,
+		.account_bytes = account_bytes[find_slot(conn->account)],
+		.bytes = count_bytes(conn, NULL)}};
+
+	if (has_response || is_receiving(conn))
+		consider(best, &c);
 }
 
-/* Returns the connection with most unread bytes of a whole response. */
-static struct pb_conn *
-find_slow_reader(struct pb_gateway *gw)
+static void
+consider_exchange(
+    struct candidate *best, const int64_t *account_bytes, struct pb_exchange *x)
 {
-	struct pb_conn *conn, *largest = NULL;
+	struct candidate c = {x->conn, x,
+	    {.unread =
+		    x->conn != NULL && pb_is_read_slowly(x->conn->output_len),
+		.may_have_run = x->may_have_run || pb_is_sent(&x->call),
+		.rank = x->rank,
+		.account_bytes = account_bytes[find_slot(x->account_hash)],
+		.bytes = count_bytes(x->conn, x)}};
+
+	consider(best, &c);
+}
+
+/* Sums what the requests and responses of each client account hold. */
+static void
+sum_accounts(struct pb_gateway *gw, int64_t *account_bytes)
+{
+	struct pb_exchange *x;
+	struct pb_conn *conn;
 
 	for (conn = TAILQ_FIRST(&gw->conns); conn != NULL;
-	     conn = TAILQ_NEXT(conn, entry)) {
-		if (conn->exchange != NULL || conn->reading ||
-		    conn->output_len == 0)
-			continue;
-		if (largest == NULL || conn->output_len > largest->output_len)
-			largest = conn;
-	}
-	return largest;
+	     conn = TAILQ_NEXT(conn, entry))
+		account_bytes[find_slot(conn->account)] +=
+		    count_bytes(conn, NULL);
+	for (x = TAILQ_FIRST(&gw->exchanges); x != NULL;
+	     x = TAILQ_NEXT(x, entry))
+		account_bytes[find_slot(x->account_hash)] +=
+		    count_bytes(NULL, x);
+	/* Requests without an account do not belong together. */
+	account_bytes[0] = 0;
 }
 
-/* Returns the connection with the longest body that is being received. */
-static struct pb_conn *
-find_longest_body(struct pb_gateway *gw)
+/* Returns what is ended first; its bytes are 0 if nothing is left. */
+static struct candidate
+find_first(struct pb_gateway *gw)
 {
-	struct pb_conn *conn, *longest = NULL;
+	int64_t account_bytes[ACCOUNT_SLOTS] = {0};
+	struct candidate best = {0};
+	struct pb_exchange *x;
+	struct pb_conn *conn;
 
+	sum_accounts(gw, account_bytes);
 	for (conn = TAILQ_FIRST(&gw->conns); conn != NULL;
 	     conn = TAILQ_NEXT(conn, entry)) {
-		if (conn->handling || conn->close_after || conn->body.cap == 0)
-			continue;
-		if (longest == NULL || conn->body.cap > longest->body.cap)
-			longest = conn;
+		if (conn->exchange == NULL)
+			consider_conn(&best, account_bytes, conn);
 	}
-	return longest;
+	for (x = TAILQ_FIRST(&gw->exchanges); x != NULL;
+	     x = TAILQ_NEXT(x, entry))
+		consider_exchange(&best, account_bytes, x);
+	return best;
 }
 
 static void
-drop_slow_reader(struct pb_conn *conn)
+close_unread(struct pb_conn *conn)
 {
-	pb_log(conn->gw->ctx, PB_WARN, "end connection", NULL, NULL,
-	    "closed: its caller has not read %zu bytes of a response; the "
+	struct pb_gateway *gw = conn->gw;
+
+	pb_log(gw->ctx, PB_WARN, "end connection", NULL, NULL,
+	    "closed: its caller has not read %zu bytes of a response; rank %d, "
 	    "%lld buffered bytes exceed the memory limit",
-	    conn->output_len, (long long)conn->gw->buffered);
+	    conn->output_len, conn->rank, (long long)gw->buffered);
+	gw->unread_closed++;
 	pb_drop_conn(conn);
 }
 
@@ -139,22 +180,17 @@
 static bool
 free_some(struct pb_gateway *gw)
 {
-	struct pb_conn *conn = find_slow_reader(gw);
-	struct pb_exchange *x;
+	struct candidate c = find_first(gw);
 
-	if (conn != NULL) {
-		drop_slow_reader(conn);
-		return true;
-	}
-	conn = find_longest_body(gw);
-	if (conn != NULL) {
-		pb_refuse_body(conn);
-		return true;
-	}
-	x = find_first_holder(gw);
-	if (x == NULL)
+	if (c.holder.bytes == 0)
 		return false;
-	pb_end_exchange(x, PB_END_BUFFER_LIMIT);
+	if (c.x != NULL)
+		pb_end_exchange(c.x,
+		    c.holder.unread ? PB_END_SLOW_CALLER : PB_END_BUFFER_LIMIT);
+	else if (c.holder.may_have_run)
+		close_unread(c.conn);
+	else
+		pb_refuse_body(c.conn);
 	return true;
 }
 
--- a/source/gateway/gateway-metrics.c
+++ b/source/gateway/gateway-metrics.c
@@ -94,6 +94,10 @@
 	    "poplarbeam_streams_of_other_routers %zu\n"
 	    "poplarbeam_instances %zu\n"
 	    "poplarbeam_instances_avoided %zu\n"
+	    "poplarbeam_buffered_bytes %lld\n"
+	    "poplarbeam_streams_held %zu\n"
+	    "poplarbeam_streams_held_total %lld\n"
+	    "poplarbeam_unread_closed_total %lld\n"
 	    "poplarbeam_unreadable_loads_total %lld\n"
 	    "poplarbeam_broken_attempts_total %lld\n"
 	    "poplarbeam_contained %zu\n"
@@ -108,8 +112,10 @@
 	    (long long)in_flight, waiting,
 	    pb_sum_other_streams(gw->ctx, gw->registry),
 	    pb_count_instances(gw->registry),
-	    pb_count_avoided(gw->ctx, gw->registry),
-	    (long long)gw->unreadable_loads, (long long)gw->broken_attempts,
+	    pb_count_avoided(gw->ctx, gw->registry), (long long)gw->buffered,
+	    pb_count_holds(gw), (long long)gw->holds,
+	    (long long)gw->unread_closed, (long long)gw->unreadable_loads,
+	    (long long)gw->broken_attempts,
 	    pb_count_refused(gw->ctx, gw->suspects), closed.leaving,
 	    closed.paused, (long long)gw->leaving_marks,
 	    (long long)gw->pause_marks, (long long)gw->unreadable_pauses,
--- a/source/gateway/gateway-net.c
+++ b/source/gateway/gateway-net.c
@@ -12,6 +12,10 @@
  * acknowledges everything but reads nothing, which a sound one may do.
  */
 #define LONG_BODY_TIMEOUT_MS 15000
+/* Unsent bytes that the kernel buffers for an accepted connection. */
+#define KERNEL_UNSENT_MAX 65536
+/* One probe in flight says nothing. */
+#define UNANSWERED_PROBES_MAX 1
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_PERIOD_S 1
 #define KEEPALIVE_PROBES 2
@@ -29,27 +33,67 @@
 	    0;
 }
 
-void
-pb_set_socket_options(evutil_socket_t fd)
+struct socket_option {
+	int level;
+	int name;
+	int value;
+};
+
+static void
+set_options(evutil_socket_t fd, const struct socket_option *options, size_t n)
 {
-	const struct {
-		int level;
-		int name;
-		int value;
-	} options[] = {{IPPROTO_TCP, TCP_NODELAY, 1},
-	    {IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS},
-	    {SOL_SOCKET, SO_KEEPALIVE, 1},
-	    {IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S},
-	    {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PERIOD_S},
-	    {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES}};
 	size_t i;
 
 	/* A socket without one of these options still works. */
-	for (i = 0; i < sizeof(options) / sizeof(options[0]); i++)
+	for (i = 0; i < n; i++)
 		(void)setsockopt(fd, options[i].level, options[i].name,
 		    &options[i].value, sizeof(options[i].value));
 }
 
+static void
+set_common_options(evutil_socket_t fd)
+{
+	static const struct socket_option options[] = {
+	    {IPPROTO_TCP, TCP_NODELAY, 1}, {SOL_SOCKET, SO_KEEPALIVE, 1},
+	    {IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S},
+	    {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_PERIOD_S},
+	    {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES}};
+
+	set_options(fd, options, sizeof(options) / sizeof(options[0]));
+}
+
+void
+pb_set_socket_options(evutil_socket_t fd)
+{
+	static const struct socket_option option = {
+	    IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS};
+
+	set_common_options(fd);
+	set_options(fd, &option, 1);
+}
+
+void
+pb_set_accepted_options(evutil_socket_t fd)
+{
+	static const struct socket_option option = {
+	    IPPROTO_TCP, TCP_NOTSENT_LOWAT, KERNEL_UNSENT_MAX};
+
+	set_common_options(fd);
+	set_options(fd, &option, 1);
+}
+
+bool
+pb_has_unanswered_data(evutil_socket_t fd)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+		return false;
+	return info.tcpi_retransmits > 0 ||
+	    info.tcpi_probes > UNANSWERED_PROBES_MAX;
+}
+
 void
 pb_set_long_body(evutil_socket_t fd, bool is_long)
 {
--- a/source/gateway/gateway-takeover.c
+++ b/source/gateway/gateway-takeover.c
@@ -20,6 +20,7 @@
 move_call(struct pb_link_call *from, struct pb_link_call *to)
 {
 	to->link = from->link;
+	to->pressure = from->pressure;
 	from->link = NULL;
 	if (to->link != NULL)
 		to->link->call = to;
@@ -181,7 +182,8 @@
 	struct pb_exchange *x = s->exchange;
 
 	log_takeover(x, s->instance, "the silent attempt broke");
-	if (failure == PB_LINK_BROKEN)
+	if (failure == PB_LINK_BROKEN &&
+	    !pb_is_unread_break(&s->call.pressure, pb_now(x->gw->ctx)))
 		pb_note_broken_attempt(x, s->instance);
 	pb_drop_standby(x);
 }
--- a/standin/pb-backend.c
+++ b/standin/pb-backend.c
@@ -46,6 +46,9 @@
  *   endless-interim, endless-extension, endless-trailer, endless-other
  *             the same with interim responses, a chunk extension, a trailer or
  *             a response to another request that never ends
+ *   bulk, bulk-reset
+ *             sends BULK_EVENTS long events as fast as the peer reads; closes
+ *             or resets the connection if the peer reads nothing for UNREAD_MS
  *   half-head, half-line, half-framed
  *             sends part of a response head and closes: within a field, after a
  *             whole field, or after all fields but not their end
@@ -78,6 +81,8 @@
 #define RUNS_MAX 4096
 #define EVENTS_PER_STREAM 10
 #define PREEMPTION_MS 2200
+#define BULK_EVENTS 2000
+#define UNREAD_MS 5000
 #define FILLER_BYTES 16384
 #define LARGE_BODY_BYTES (192 * FILLER_BYTES)
 #define BODY_PREFIX "answer of "
@@ -293,6 +298,53 @@
 	send_filler(c);
 }
 
+static void
+start_timer(struct conn *c, int ms)
+{
+	struct timeval tv = {ms / 1000, ms % 1000 * 1000};
+
+	evtimer_add(c->timer, &tv);
+}
+
+static bool
+is_bulk(const struct conn *c)
+{
+	return strncmp(c->action, "bulk", 4) == 0;
+}
+
+/* Ends a response that the peer does not read. */
+static void
+give_up(struct conn *c)
+{
+	struct linger now = {1, 0};
+
+	if (is_action(c, "bulk-reset"))
+		setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER,
+		    &now, sizeof(now));
+	close_conn(c);
+}
+
+/* Sends the next long event of a stream, or its end after the last one. */
+static void
+continue_bulk(struct conn *c)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+	char data[FILLER_BYTES], text[FILLER_BYTES + 64];
+
+	if (c->next_event > BULK_EVENTS) {
+		evtimer_del(c->timer);
+		evbuffer_add_printf(out, "0\r\n\r\n");
+		end_request(c);
+		return;
+	}
+	memset(data, 'x', sizeof(data) - 1);
+	data[sizeof(data) - 1] = '\0';
+	snprintf(
+	    text, sizeof(text), "id: %d\ndata: %s\n\n", c->next_event++, data);
+	evbuffer_add_printf(out, "%zx\r\n%s\r\n", strlen(text), text);
+	start_timer(c, UNREAD_MS);
+}
+
 static void
 on_write(struct bufferevent *bev, void *arg)
 {
@@ -301,6 +353,8 @@
 	(void)bev;
 	if (c->endless)
 		send_filler(c);
+	else if (c->busy && is_bulk(c) && c->next_event != 0)
+		continue_bulk(c);
 }
 
 static void
@@ -317,14 +371,6 @@
 	end_request(c);
 }
 
-static void
-start_timer(struct conn *c, int ms)
-{
-	struct timeval tv = {ms / 1000, ms % 1000 * 1000};
-
-	evtimer_add(c->timer, &tv);
-}
-
 static void
 continue_dribble(struct conn *c)
 {
@@ -440,6 +486,8 @@
 		end_request(c);
 	else if (is_action(c, "open-none"))
 		close_after_flush(c);
+	else if (is_bulk(c))
+		continue_bulk(c);
 	else
 		continue_stream(c);
 }
@@ -471,7 +519,7 @@
 is_stream_action(const struct conn *c)
 {
 	return is_action(c, "stream") || is_action(c, "dribble") ||
-	    strncmp(c->action, "torn", 4) == 0 ||
+	    is_bulk(c) || strncmp(c->action, "torn", 4) == 0 ||
 	    strncmp(c->action, "preempt", 7) == 0 ||
 	    strncmp(c->action, "open", 4) == 0;
 }
@@ -552,7 +600,9 @@
 
 	(void)fd;
 	(void)what;
-	if (c->next_event != 0 && !is_action(c, "dribble"))
+	if (is_bulk(c))
+		give_up(c);
+	else if (c->next_event != 0 && !is_action(c, "dribble"))
 		continue_stream(c);
 	else
 		perform_action(c);
--- a/tests/test-ending.c
+++ b/tests/test-ending.c
@@ -1,3 +1,4 @@
+#include "poplarbeam/base.h"
 #include "poplarbeam/ending.h"
 
 #include "run-suite.h"
@@ -86,14 +87,19 @@
 
 /*
  * Guards against a request that an instance runs being ended while one that has
- * not run, is less urgent or belongs to a larger account holds memory.
+ * not run, is less urgent or belongs to a larger account holds memory, and
+ * against any of them being ended while unread responses hold it. Of those, it
+ * does not matter which have run: they all have.
  */
 static void
 test_order(void)
 {
-	static const struct pb_holder order[] = {{false, 2, 10, 1},
-	    {false, 1, 90, 9}, {true, 2, 50, 1}, {true, 2, 40, 30},
-	    {true, 2, 40, 20}, {true, 0, 90, 90}};
+	static const struct pb_holder order[] = {{true, true, 2, 90, 1},
+	    {true, false, 2, 80, 7}, {true, true, 2, 80, 5},
+	    {true, true, 0, 95, 95}, {false, false, 2, 10, 1},
+	    {false, false, 1, 90, 9}, {false, true, 2, 50, 1},
+	    {false, true, 2, 40, 30}, {false, true, 2, 40, 20},
+	    {false, true, 0, 90, 90}};
 	size_t i, k, n = sizeof(order) / sizeof(order[0]);
 
 	for (i = 0; i < n; i++) {
@@ -103,6 +109,50 @@
 	}
 }
 
+/*
+ * Guards against a stream that is read on while its caller does not read, and
+ * against one that is held and read again with every part.
+ */
+static void
+test_hold(void)
+{
+	CU_ASSERT(!pb_is_read_slowly(200));
+	CU_ASSERT(pb_is_read_slowly(20000));
+	CU_ASSERT(!pb_must_hold(0, false));
+	CU_ASSERT(!pb_must_hold(0, true));
+	CU_ASSERT(!pb_must_hold(50000, false));
+	CU_ASSERT(pb_must_hold(50000, true));
+	CU_ASSERT(pb_must_hold(100000, false));
+	CU_ASSERT(pb_must_hold(100000, true));
+}
+
+/*
+ * Guards against an instance that is blamed for closing a connection that the
+ * router did not read, and against one that is not blamed for a crash because
+ * its response was held at some time.
+ */
+static void
+test_unread_break(void)
+{
+	struct pb_backpressure p = {0};
+
+	CU_ASSERT(!pb_is_unread_break(&p, 9 * PB_SEC));
+	pb_note_resume(&p, 9 * PB_SEC);
+	CU_ASSERT(!pb_is_unread_break(&p, 9 * PB_SEC));
+	pb_note_hold(&p, 10 * PB_SEC);
+	CU_ASSERT(!pb_is_unread_break(&p, 10 * PB_SEC + 100 * PB_MSEC));
+	/* A hold that goes on is not begun again. */
+	pb_note_hold(&p, 13 * PB_SEC);
+	CU_ASSERT(pb_is_unread_break(&p, 13 * PB_SEC));
+	pb_note_resume(&p, 14 * PB_SEC);
+	CU_ASSERT_EQUAL(p.longest_us, 4 * PB_SEC);
+	CU_ASSERT(pb_is_unread_break(&p, 14 * PB_SEC + 500 * PB_MSEC));
+	CU_ASSERT(!pb_is_unread_break(&p, 20 * PB_SEC));
+	pb_note_hold(&p, 20 * PB_SEC);
+	pb_note_resume(&p, 20 * PB_SEC + 10 * PB_MSEC);
+	CU_ASSERT_EQUAL(p.longest_us, 4 * PB_SEC);
+}
+
 /*
  * Guards against bodies of less urgent ranks that take all room, and against
  * room that is kept where the configuration has no ranks.
@@ -156,8 +206,10 @@
 main(void)
 {
 	static CU_TestInfo tests[] = {{"every ending", test_every_ending},
-	    {"texts", test_texts}, {"order", test_order},
-	    {"body share", test_body_share}, {"retry after", test_retry_after}, CU_TEST_INFO_NULL};
+	    {"texts", test_texts}, {"order", test_order}, {"hold", test_hold},
+	    {"unread break", test_unread_break},
+	    {"body share", test_body_share}, {"retry after", test_retry_after},
+	    CU_TEST_INFO_NULL};
 
 	return run_suite("ending", tests);
 }
