--- a/source/gateway/gateway-core.c
+++ b/source/gateway/gateway-core.c
@@ -72,6 +72,7 @@
 	(void)what;
 	pb_note_running(gw->ctx, gw->registry);
 	pb_sweep_conns(gw);
+	pb_sweep_holds(gw);
 	pb_enforce_memory_limit(gw);
 	pb_answer_held_polls(gw);
 	pb_expire_instances(gw->ctx, gw->registry);
--- a/source/gateway/gateway-exchange.h
+++ b/source/gateway/gateway-exchange.h
@@ -38,6 +38,7 @@
 	struct pb_routing *routing; /* counted reference */
 	const struct pb_route *route;
 	const struct pb_account *account; /* NULL: none */
+	uint64_t account_hash; /* of the account's name; 0: none */
 	struct pb_service_budget *budget;
 	struct pb_waiter waiter; /* entry in the queue for a free slot */
 	int64_t wait_end_us; /* refused at this time if still queued */
@@ -91,6 +92,7 @@
 	size_t counted_bytes;
 	bool streaming; /* events are forwarded as they arrive */
 	bool until_close; /* ends with the connection, without a length */
+	bool instance_closed; /* the instance has closed a held response */
 	bool started; /* the response head was sent to the caller */
 	bool unusable; /* not intact, or not the upstream's own response */
 	bool has_last_event;
@@ -124,8 +126,10 @@
  */
 void pb_wait_for_slot(
     struct pb_exchange *x, const struct pb_placement_facts *facts);
-/* Sets the rank of the exchange. Its route, account and budget must be set. */
-void pb_set_rank(struct pb_exchange *x);
+/* Returns the rank of a request of this route and account (NULL: none). */
+int pb_find_request_rank(struct pb_service_budget *budget,
+    const struct pb_routing *routing, const struct pb_route *route,
+    const struct pb_account *account);
 /*
  * Records whether the response was late. Called when the response has started,
  * or when the request has ended without one.
@@ -208,6 +212,23 @@
 void pb_note_broken_attempt(
     struct pb_exchange *x, struct pb_instance *instance);
 
+/* gateway-pressure.c: callers that read slowly. */
+/*
+ * Stops reading from the instance while the caller does not read, and reads
+ * again when it does. Call when the unsent output may have changed.
+ */
+void pb_update_backpressure(struct pb_exchange *x);
+/* Reads again from the instance. The time since the hold is not its own. */
+void pb_end_hold(struct pb_exchange *x);
+/* Ends the holds of responses that the instance has ended meanwhile. */
+void pb_sweep_holds(struct pb_gateway *gw);
+size_t pb_count_holds(const struct pb_gateway *gw);
+/*
+ * Ends the exchange if the connection broke because the caller did not read;
+ * returns false if that is not the cause.
+ */
+bool pb_end_unread(struct pb_exchange *x);
+
 /* gateway-events.c */
 /*
  * Forwards complete events of the response to the caller. Returns false if an
