Mend what a first reading of the change stumbled on

A reader who had not seen the design read the whole change.

The entries of answers carry the version of their rows now, ends are applied last and again when the services become known. The memory of instances, which nothing used, is no longer decoded. The rest is wording.

--- a/include/poplarbeam/adapter.h
+++ b/include/poplarbeam/adapter.h
@@ -117,8 +117,8 @@
 	/* True if this row of the operator's table has the configuration. */
 	bool (*is_routing_key)(struct pb_str key);
 	/*
-	 * True if the presence of this row of the operator's table orders the
-	 * evacuation of a failure domain, which is then a part of key.
+	 * Returns true if a row with this key orders the evacuation of a
+	 * failure domain while it exists, and sets domain, a part of key.
 	 */
 	bool (*read_evacuation)(struct pb_str key, struct pb_str *domain);
 	/* Returns NULL and sets the context's error if value is malformed. */
--- a/include/poplarbeam/ending.h
+++ b/include/poplarbeam/ending.h
@@ -85,7 +85,7 @@
 /* A stream that is held is read again below this length of unsent output. */
 #define PB_RESUME_UNSENT 16384 /* bytes */
 
-/* Returns true if a caller that keeps up leaves less than this unsent. */
+/* Returns true if more is unsent than a caller that keeps up leaves unsent. */
 bool pb_is_read_slowly(size_t unsent);
 
 /*
--- a/include/poplarbeam/order.h
+++ b/include/poplarbeam/order.h
@@ -3,7 +3,7 @@
 
 /*
  * Decides which router of a failure domain follows which, and what a starting
- * router does. Knows no sockets.
+ * router does. Uses no sockets.
  *
  * The routers of a domain are ordered by hash; position 0 reads the store. In
  * a small domain all others follow it; in a larger one they form two levels, so
@@ -14,11 +14,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Returns how many routers follow one router in a domain of count routers. */
+/* Returns the maximum number of routers that follow one router. */
 size_t pb_order_width(size_t count);
 /* Returns the number of hops from the store's reader to the last router. */
 int pb_order_levels(size_t count);
-/* Returns the position of the router that the one at position follows. */
+/*
+ * Returns the position of the router that the one at position follows; 0 for
+ * position 0, which follows none.
+ */
 size_t pb_order_parent(size_t position, size_t count);
 
 /*
--- a/include/poplarbeam/placement.h
+++ b/include/poplarbeam/placement.h
@@ -97,7 +97,7 @@
 	PB_CHOICE_SECOND,
 	PB_CHOICE_LEAST_LOADED,
 	PB_CHOICE_RESUMED, /* the stream already runs there */
-	PB_CHOICE_UNUSED /* joined lately and has had no work since */
+	PB_CHOICE_JOINED /* joined lately and has had no work since */
 };
 
 const char *pb_choice_name(enum pb_choice choice);
--- a/include/poplarbeam/registry.h
+++ b/include/poplarbeam/registry.h
@@ -19,11 +19,9 @@
 	bool draining;
 	int64_t started_ms; /* Unix time of the process start; 0: unknown */
 	int64_t cold_left_us; /* until it takes its full load */
-	/*
-	 * Store version of the entry; 0: read from another router, which has
-	 * deducted the age of the entry from cold_left_us.
-	 */
-	int64_t row_version;
+	/* cold_left_us holds now, not when the row was written. */
+	bool cold_left_current;
+	int64_t row_version; /* store version of the row; 0: unknown */
 };
 
 struct pb_link;
@@ -83,7 +81,10 @@
 	int64_t cold_until_us; /* as the instance reported */
 	/* May be cold until then although it has not reported it. */
 	int64_t suspect_until_us;
-	/* No connection could be opened since; it may have restarted. */
+	/*
+	 * The last connection attempt failed and no answer has come since: the
+	 * instance may have restarted.
+	 */
 	bool unreached;
 	/* When this router sent its last requests, a ring buffer. */
 	int64_t sent_us[PB_SENDS_KEPT];
@@ -226,9 +227,12 @@
  * Records that an evacuation has ended, which this router may not have known
  * of: the instances of the domain may be cold.
  */
-void pb_note_evacuation_end(
+void pb_note_evacuation_end(struct pb_context *ctx,
     struct pb_registry *registry, struct pb_str domain, int64_t end_us);
-/* Sets the evacuations that ended lately, and returns their number. */
+/*
+ * Stores the address of the evacuations that ended lately in *ends, and returns
+ * their number. They are valid until the next change.
+ */
 size_t pb_read_evacuation_ends(struct pb_context *ctx,
     struct pb_registry *registry, const struct pb_evacuation_end **ends);
 
@@ -248,9 +252,9 @@
 size_t pb_read_routers(
     const struct pb_registry *registry, uint64_t *routers, size_t cap);
 /*
- * Records that the process runs, to be called several times a second. After a
- * suspension of the process, any instance may have become cold unnoticed until
- * the list is current again.
+ * Call several times a second. A long gap between two calls means that the
+ * process was suspended; all instances then count as cold until the list is
+ * current again.
  */
 void pb_note_running(struct pb_context *ctx, struct pb_registry *registry);
 /* Records that the list of instances was current at fresh_us. */
@@ -414,9 +418,9 @@
 
 /*
  * Stores the outcomes of this router, and of the routers that poll it, that
- * were not sent to another router yet,
- * for up to cap instances, and returns the number of these instances. The
- * stored outcomes are cleared, so that each is sent once.
+ * were not sent to another router yet, for up to cap instances, and returns the
+ * number of these instances. The stored outcomes are cleared, so that each is
+ * sent once.
  */
 size_t pb_take_unsent_outcomes(struct pb_context *ctx,
     struct pb_registry *registry, struct pb_outcomes *outcomes, size_t cap);
--- a/include/poplarbeam/routing.h
+++ b/include/poplarbeam/routing.h
@@ -50,7 +50,6 @@
 	/* How long an instance is cold after its start; 0: never. */
 	int64_t cold_start_us;
 	double cold_per_s; /* requests that a cold instance takes per second */
-	int64_t memory_tokens; /* memory of one instance; 0: not limited */
 };
 
 #define PB_NO_PRIORITY (-1)
--- a/source/ending/ending-decide.c
+++ b/source/ending/ending-decide.c
@@ -82,8 +82,7 @@
 int64_t
 pb_choose_retry_after(enum pb_end_reason reason, bool stopping, int64_t left_us)
 {
-	/* All routers refuse a crashing request, but each has its own pauses.
-	 */
+	/* All routers refuse crashing requests; pauses differ by router. */
 	bool everywhere =
 	    reason == PB_END_CRASHING_REQUEST || reason == PB_END_CRASHING_PART;
 
--- a/source/ending/ending-pressure.c
+++ b/source/ending/ending-pressure.c
@@ -56,12 +56,13 @@
 void
 pb_note_resume(struct pb_backpressure *pressure, int64_t now_us)
 {
-	int64_t time = now_us - pressure->held_us;
+	int64_t held;
 
 	if (pressure->held_us == 0)
 		return;
-	if (time > pressure->longest_us)
-		pressure->longest_us = time;
+	held = now_us - pressure->held_us;
+	if (held > pressure->longest_us)
+		pressure->longest_us = held;
 	pressure->held_us = 0;
 	pressure->resumed_us = now_us;
 }
--- a/source/gateway/changes.h
+++ b/source/gateway/changes.h
@@ -34,6 +34,7 @@
 	bool_t draining;
 	quad_t started_ms;
 	u_int cold_left_ms;
+	quad_t row_version;
 };
 typedef struct change_entry change_entry;
 
--- a/source/gateway/changes.x
+++ b/source/gateway/changes.x
@@ -9,7 +9,7 @@
 const OUTCOMES_MAX = 64;	/* per message; 768 bytes in all */
 const STREAMS_MAX = 512;	/* per message; 4 KB in all */
 const CRASHES_MAX = 64;		/* per message; 1 KB in all */
-const EVACUATED_MAX = 64;	/* per message */
+const EVACUATED_MAX = 64;	/* per message, as many as a registry keeps */
 const ROUTERS_MAX = 4096;	/* per message; 32 KB in all */
 
 typedef string change_text<CHANGE_TEXT_MAX>;
@@ -25,6 +25,7 @@
 	bool draining;
 	hyper started_ms;
 	unsigned int cold_left_ms;	/* until it takes its full load */
+	hyper row_version;	/* store version of its row; 0: unknown */
 };
 
 /* Load that an instance reported in a response to a request. */
--- a/source/gateway/changes_xdr.c
+++ b/source/gateway/changes_xdr.c
@@ -38,6 +38,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cold_left_ms))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->row_version))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/source/gateway/gateway-conn.c
+++ b/source/gateway/gateway-conn.c
@@ -20,9 +20,10 @@
 /* A body of unknown length gets room in steps of these sizes, in bytes. */
 #define SHORT_BODY_STEP 4096
 #define LONG_BODY_STEP (4 << 20)
-/* A peer is lost if this many checks in a row find data unanswered. */
+/* Time between two checks of a connection for a lost peer. */
 #define PEER_CHECK_US (500 * PB_MSEC)
-#define UNANSWERED_CHECKS_MAX 3
+/* A peer is lost if this many checks in a row find unanswered data. */
+#define UNANSWERED_CHECKS_MAX 4
 /* Time for the caller to close the connection after the last response. */
 #define LINGER_US PB_SEC
 /*
@@ -484,7 +485,7 @@
 		conn->unanswered_checks++;
 	else
 		conn->unanswered_checks = 0;
-	return conn->unanswered_checks > UNANSWERED_CHECKS_MAX;
+	return conn->unanswered_checks >= UNANSWERED_CHECKS_MAX;
 }
 
 /* Closes a connection that is overdue or lost. */
--- a/source/gateway/gateway-crashes.c
+++ b/source/gateway/gateway-crashes.c
@@ -217,7 +217,7 @@
 		pb_log(f->gw->ctx, PB_INFO, "fetch crashes", NULL, NULL,
 		    "no answer within %lld ms from %zu routers",
 		    (long long)(ANSWER_WAIT_US / PB_MSEC), f->asked);
-	f->done = true;
+	pb_end_crash_fetch(f);
 }
 
 struct pb_crash_fetch *
--- a/source/gateway/gateway-entries.c
+++ b/source/gateway/gateway-entries.c
@@ -32,6 +32,7 @@
 	e->slots = inst->slots;
 	e->draining = inst->draining;
 	e->started_ms = inst->started_ms;
+	e->row_version = inst->row_version;
 	if (now < inst->cold_until_us)
 		e->cold_left_ms =
 		    (u_int)((inst->cold_until_us - now) / PB_MSEC);
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -20,7 +20,7 @@
 #define START_ANSWER_US (400 * PB_MSEC)
 /* How long this router, at startup, avoids one that did not answer. */
 #define START_AVOID_US PB_SEC
-/* Routers after it in order that the first router asks at startup. */
+/* The first router polls at most this many of the others at startup. */
 #define LATER_MAX 16
 /* Routers that start together write their rows in this time. */
 #define RELIST_DELAY_US PB_SEC
@@ -246,8 +246,8 @@
 }
 
 /*
- * Chooses another peer if this one has become too far from the store, because
- * it follows routers that have joined. Returns false if there is no other one.
+ * Leaves a peer that has become too far from the store because it follows
+ * routers that have joined. Returns false if the peer is kept.
  */
 static bool
 leave_far_peer(struct pb_follower *f)
@@ -434,6 +434,7 @@
 		leave_peer(f, f->peer_is_starting ? 0 : START_AVOID_US, why);
 		switch_to_store(f);
 		pb_set_timer(f->timer, RELIST_DELAY_US);
+		break;
 	}
 }
 
--- a/source/gateway/gateway-follow.h
+++ b/source/gateway/gateway-follow.h
@@ -194,7 +194,8 @@
 struct change_answer;
 /*
  * Stores an allocated array of the entries that changed after the sequence
- * since, or of all, which the caller frees. Its texts belong to the registry.
+ * since, or of all, which the caller frees, also if the call fails. Its texts
+ * belong to the registry.
  */
 int pb_fill_entries(struct pb_gateway *gw, uint64_t since, bool full,
     struct change_entry **entries, unsigned int *count);
@@ -294,7 +295,7 @@
  * router has answered in time. It serves no requests before that.
  */
 bool pb_knows_crashes(const struct pb_crash_fetch *fetch);
-/* Answers such a question of another router. */
+/* Answers a GET of PB_CRASHES_PATH, with 503 while the crashes are unknown. */
 void pb_send_crashes(struct pb_conn *conn);
 
 #endif
--- a/source/gateway/gateway-net.c
+++ b/source/gateway/gateway-net.c
@@ -14,7 +14,7 @@
 #define LONG_BODY_TIMEOUT_MS 15000
 /* Unsent bytes that the kernel buffers for an accepted connection. */
 #define KERNEL_UNSENT_MAX 65536
-/* One probe in flight says nothing. */
+/* One unanswered probe may still be in flight; more are not. */
 #define UNANSWERED_PROBES_MAX 1
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_PERIOD_S 1
--- a/source/gateway/gateway-order.c
+++ b/source/gateway/gateway-order.c
@@ -4,7 +4,7 @@
 
 /* Largest failure domain in which all routers follow the first one. */
 #define STAR_MAX 32 /* routers */
-/* Routers that follow one router in larger domains. */
+/* Routers that follow one router in larger domains, at least. */
 #define WIDTH_MIN 8
 /*
  * Time in which a router that starts waits for a peer that is starting as well.
--- a/source/gateway/gateway-peer.c
+++ b/source/gateway/gateway-peer.c
@@ -213,8 +213,9 @@
 }
 
 /*
- * Returns true if this router is starting and will soon have the data. A long
- * listing is outdated when it is complete, until the store has confirmed it.
+ * Returns true if this router is starting and will soon have the data. A
+ * listing that took long is outdated when it is complete; the router counts as
+ * starting until the store has confirmed it.
  */
 static bool
 is_starting(const struct pb_gateway *gw)
@@ -327,6 +328,7 @@
 		pb_send_response(conn, 400, PB_STR_NONE, PB_STR_NONE);
 		return;
 	}
+	/* A router without a list must not get an outdated one. */
 	if (q.list_row == 0 && is_starting(gw)) {
 		refuse_request(conn);
 		free_question(&q);
--- a/source/gateway/gateway-reports.c
+++ b/source/gateway/gateway-reports.c
@@ -122,7 +122,9 @@
 	    .slots = e->slots,
 	    .draining = e->draining,
 	    .started_ms = e->started_ms,
-	    .cold_left_us = e->cold_left_ms * PB_MSEC};
+	    .cold_left_us = e->cold_left_ms * PB_MSEC,
+	    .cold_left_current = true,
+	    .row_version = e->row_version};
 
 	if (e->gone)
 		pb_remove_instance(gw->ctx, gw->registry, entry.id);
@@ -165,12 +167,6 @@
 	int64_t version = answer->evacuations_row;
 	u_int i;
 
-	for (i = 0; i < answer->ended.ended_len; i++) {
-		const struct evacuation_end *e = &answer->ended.ended_val[i];
-
-		pb_note_evacuation_end(gw->registry, pb_str_from(e->domain),
-		    pb_now(gw->ctx) - e->age_ms * PB_MSEC);
-	}
 	if (version < pb_evacuations_version(gw->registry))
 		return;
 	pb_begin_evacuations(gw->registry);
@@ -181,6 +177,21 @@
 	pb_note_evacuations_version(gw->registry, version);
 }
 
+/* Call when the entries are applied: it marks the instances known by then. */
+static void
+apply_evacuation_ends(struct pb_gateway *gw, const struct change_answer *answer)
+{
+	u_int i;
+
+	for (i = 0; i < answer->ended.ended_len; i++) {
+		const struct evacuation_end *e = &answer->ended.ended_val[i];
+
+		pb_note_evacuation_end(gw->ctx, gw->registry,
+		    pb_str_from(e->domain),
+		    pb_now(gw->ctx) - e->age_ms * PB_MSEC);
+	}
+}
+
 static void
 apply_routers(struct pb_gateway *gw, const struct change_answer *answer)
 {
@@ -208,6 +219,7 @@
 		apply_entry(gw, &answer->entries.entries_val[i]);
 	if (answer->full)
 		pb_end_listing(gw->ctx, gw->registry);
+	apply_evacuation_ends(gw, answer);
 	pb_note_list_version(gw->registry, answer->list_row);
 	pb_apply_load_reports(gw, answer->reports.reports_val,
 	    answer->reports.reports_len, false);
--- a/source/gateway/gateway-request.c
+++ b/source/gateway/gateway-request.c
@@ -351,7 +351,8 @@
 		return;
 	}
 	if (!pb_knows_crashes(gw->crash_fetch)) {
-		reject(conn, &req, 503, "other routers were not heard yet");
+		reject(conn, &req, 503,
+		    "crashes known to other routers have not been received yet");
 		return;
 	}
 	route = pb_find_route(gw->routing, req.host, target);
--- a/source/gateway/gateway-wait.c
+++ b/source/gateway/gateway-wait.c
@@ -28,11 +28,10 @@
 #define PAUSE_WAITERS_MAX 256
 
 int
-pb_find_request_rank(struct pb_service_budget *budget,
+pb_find_request_rank(struct pb_service_budget *b,
     const struct pb_routing *routing, const struct pb_route *route,
     const struct pb_account *account)
 {
-	struct pb_service_budget *b = budget;
 	int rank;
 
 	if (b->ranks_version != routing->version || b->ranks.count == 0) {
--- a/source/placement/placement-choose.c
+++ b/source/placement/placement-choose.c
@@ -103,7 +103,7 @@
  * the first one, its share of the chats rises with its weight.
  */
 static int
-find_unused(const struct pb_placement *pl, const struct load_view *v,
+find_joined(const struct pb_placement *pl, const struct load_view *v,
     const struct requirement *req)
 {
 	int i;
@@ -148,9 +148,9 @@
 			pl->last_choice = PB_CHOICE_LOCATION;
 			return slot;
 		}
-		slot = find_unused(pl, &v, &req);
+		slot = find_joined(pl, &v, &req);
 		if (slot >= 0) {
-			pl->last_choice = PB_CHOICE_UNUSED;
+			pl->last_choice = PB_CHOICE_JOINED;
 			return slot;
 		}
 		rank_slots(pl, &v, chat, choice);
--- a/source/registry/registry-choose.c
+++ b/source/registry/registry-choose.c
@@ -20,8 +20,9 @@
 #define BUSY_FACTOR 1.3 /* of the mean load of the instances in use */
 #define IDLE_FACTOR 2.2 /* of the mean load of the whole service */
 /*
- * Each request then gets a bound that is lower by up to this fraction, so that
- * routers with the same reports do not fill the same instance at once.
+ * For each request, the bound of each instance is then lowered by a random part
+ * of up to this fraction, so that routers with the same reports do not all
+ * select the same instance.
  */
 #define BOUND_SPREAD 0.5
 /* Cost of a hop to another failure domain, in requests of load. */
@@ -195,7 +196,7 @@
 /* The load up to which the preferred instance of a prefix is selected. */
 struct load_bound {
 	double max;
-	double spread; /* the bound of one request is lower by up to this */
+	double spread; /* the bound of one instance is lower by up to this */
 };
 
 /*
@@ -225,7 +226,7 @@
 			     : b->max;
 }
 
-/* Returns the preferred instance of a prefix with a load below its bound. */
+/* Returns the preferred instance of a prefix among those below their bounds. */
 static struct pb_instance *
 choose_by_prefix(const struct pb_registry *reg, const struct search *s,
     enum health required, const struct load_bound *bound)
--- a/source/registry/registry-cold.c
+++ b/source/registry/registry-cold.c
@@ -1,6 +1,5 @@
 #include "registry-internal.h"
 
-#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/source/registry/registry-evacuation.c
+++ b/source/registry/registry-evacuation.c
@@ -4,9 +4,10 @@
 #include <string.h>
 
 /*
- * Failure domains that the operator evacuates: their instances take no
- * requests until the operator ends the evacuation. After that they are usually
- * cold, and may not have reported it yet.
+ * What the operator sets for instances: the configuration of their services,
+ * and the evacuation of failure domains. Evacuated instances take no requests
+ * until the operator ends the evacuation. After that they are usually cold, and
+ * may not have reported it yet.
  */
 
 /*
@@ -91,48 +92,75 @@
 	pb_log(ctx, PB_INFO, "evacuate", NULL, NULL,
 	    "evacuation of domain %s ended after %lld ms", e->domain,
 	    (long long)((pb_now(ctx) - e->since_us) / PB_MSEC));
-	pb_note_evacuation_end(registry, pb_str_from(e->domain), pb_now(ctx));
+	pb_note_evacuation_end(
+	    ctx, registry, pb_str_from(e->domain), pb_now(ctx));
 	*e = registry->evacuations[--registry->evacuation_count];
 	apply_evacuations(registry);
 }
 
-void
-pb_note_evacuation_end(
-    struct pb_registry *registry, struct pb_str domain, int64_t end_us)
+static void
+expire_ends(struct pb_registry *registry, int64_t now)
 {
 	size_t i;
 
-	for (i = 0; i < registry->count; i++) {
-		struct pb_instance *inst = registry->instances[i];
-
-		if (pb_str_equal_c(domain, inst->domain))
-			pb_suspect_cold(inst, end_us);
+	for (i = registry->ended_count; i-- > 0;) {
+		if (now - registry->ended[i].end_us > END_KEPT_US)
+			registry->ended[i] =
+			    registry->ended[--registry->ended_count];
 	}
+}
+
+/* Returns the kept end of the domain, a new one, or NULL if there are many. */
+static struct pb_evacuation_end *
+find_or_add_end(struct pb_registry *registry, struct pb_str domain)
+{
+	struct pb_evacuation_end *end;
+	size_t i;
+
 	for (i = 0; i < registry->ended_count; i++) {
 		if (pb_str_equal_c(domain, registry->ended[i].domain))
-			break;
+			return &registry->ended[i];
 	}
 	if (i == EVACUATIONS_MAX || domain.len >= PB_INSTANCE_TEXT)
-		return;
-	registry->ended_count += i == registry->ended_count;
-	memcpy(registry->ended[i].domain, domain.data, domain.len);
-	registry->ended[i].domain[domain.len] = '\0';
-	if (end_us > registry->ended[i].end_us)
-		registry->ended[i].end_us = end_us;
+		return NULL;
+	end = &registry->ended[registry->ended_count++];
+	memset(end, 0, sizeof(*end));
+	memcpy(end->domain, domain.data, domain.len);
+	return end;
 }
 
-size_t
-pb_read_evacuation_ends(struct pb_context *ctx, struct pb_registry *registry,
-    const struct pb_evacuation_end **ends)
+/* The instances of the domain may be cold. */
+static void
+suspect_domain(struct pb_registry *registry, struct pb_str domain, int64_t end)
 {
-	int64_t now = pb_now(ctx);
 	size_t i;
 
-	for (i = registry->ended_count; i-- > 0;) {
-		if (now - registry->ended[i].end_us > END_KEPT_US)
-			registry->ended[i] =
-			    registry->ended[--registry->ended_count];
+	for (i = 0; i < registry->count; i++) {
+		struct pb_instance *inst = registry->instances[i];
+
+		if (pb_str_equal_c(domain, inst->domain))
+			pb_suspect_cold(inst, end);
 	}
+}
+
+void
+pb_note_evacuation_end(struct pb_context *ctx, struct pb_registry *registry,
+    struct pb_str domain, int64_t end_us)
+{
+	struct pb_evacuation_end *end;
+
+	suspect_domain(registry, domain, end_us);
+	expire_ends(registry, pb_now(ctx));
+	end = find_or_add_end(registry, domain);
+	if (end != NULL && end_us > end->end_us)
+		end->end_us = end_us;
+}
+
+size_t
+pb_read_evacuation_ends(struct pb_context *ctx, struct pb_registry *registry,
+    const struct pb_evacuation_end **ends)
+{
+	expire_ends(registry, pb_now(ctx));
 	*ends = registry->ended;
 	return registry->ended_count;
 }
@@ -155,7 +183,7 @@
 	else if (e != NULL)
 		end_evacuation(ctx, registry, e);
 	else /* It began and ended without this router noticing. */
-		pb_note_evacuation_end(registry, domain, pb_now(ctx));
+		pb_note_evacuation_end(ctx, registry, domain, pb_now(ctx));
 }
 
 void
@@ -243,5 +271,9 @@
 	registry->service_count = count;
 	for (i = 0; i < registry->count; i++)
 		pb_apply_operator_state(registry, registry->instances[i]);
+	/* Whether an instance can be cold may have been unknown before. */
+	for (i = 0; i < registry->ended_count; i++)
+		suspect_domain(registry, pb_str_from(registry->ended[i].domain),
+		    registry->ended[i].end_us);
 	return PB_OK;
 }
--- a/source/registry/registry-list.c
+++ b/source/registry/registry-list.c
@@ -189,9 +189,8 @@
 }
 
 /*
- * An entry that is read again still states the time that was left when it was
- * written, so that it counts only once. Returns true if the end of the cold
- * time has moved, so that other routers must learn of it.
+ * Returns true if the end of the cold time has moved, so that other routers
+ * must learn of it.
  */
 static bool
 update_cold(struct pb_context *ctx, struct pb_instance *inst,
@@ -221,7 +220,12 @@
 
 	copy_text(inst->domain, e->domain);
 	pb_apply_operator_state(registry, inst);
-	if (e->row_version == 0 || e->row_version != inst->row_version)
+	/*
+	 * A row that is read again still states the time that was left when it
+	 * was written. It counts only once.
+	 */
+	if (inst->sequence == 0 || e->cold_left_current ||
+	    e->row_version != inst->row_version)
 		same = !update_cold(ctx, inst, e) && same;
 	inst->row_version = e->row_version;
 	inst->slots = e->slots;
--- a/tests/test-cold.c
+++ b/tests/test-cold.c
@@ -477,13 +477,13 @@
 
 	evacuate(f, "b", false, 11);
 	CU_ASSERT_EQUAL(pb_count_cold(f->ctx, reg).instances, INSTANCES / 3);
-	pb_note_evacuation_end(reg, pb_str_from("c"), now - PB_SEC);
+	pb_note_evacuation_end(f->ctx, reg, pb_str_from("c"), now - PB_SEC);
 	CU_ASSERT_EQUAL(
 	    pb_count_cold(f->ctx, reg).instances, 2 * INSTANCES / 3);
 	CU_ASSERT_EQUAL(pb_read_evacuation_ends(f->ctx, reg, &ends), 2);
 	/* Repeated reports do not prolong it. */
 	pb_advance_clock(&f->clk, COLD_US - PB_SEC);
-	pb_note_evacuation_end(reg, pb_str_from("c"), now - PB_SEC);
+	pb_note_evacuation_end(f->ctx, reg, pb_str_from("c"), now - PB_SEC);
 	CU_ASSERT_EQUAL(pb_count_cold(f->ctx, reg).instances, INSTANCES / 3);
 	pb_advance_clock(&f->clk, 20 * PB_SEC);
 	CU_ASSERT_EQUAL(pb_read_evacuation_ends(f->ctx, reg, &ends), 0);
