Wait less for a starting router after a loss of all routers

Cause: since routers start from each other, a router that starts again waited up to 3 s for its peer.

Change: a router that is not new waits 400 ms. One that starts for the first time waits 3 s as before; nothing calls it yet.

--- a/include/poplarbeam/order.h
+++ b/include/poplarbeam/order.h
@@ -47,6 +47,7 @@
 	/* A starting peer reads the store or waits for one that does. */
 	bool peer_has_source;
 	bool awaits_rows; /* other routers may not have written their rows */
+	bool first_start; /* the router was not in the list of routers */
 };
 
 enum pb_start_step pb_decide_start(const struct pb_start_facts *facts);
--- a/source/gateway/gateway-follow.c
+++ b/source/gateway/gateway-follow.c
@@ -415,7 +415,8 @@
 	    .peer_is_starting = f->peer_is_starting,
 	    .peer_precedes = f->peer->hash < f->own_hash,
 	    .peer_has_source = f->peer_has_source,
-	    .awaits_rows = f->first_start && !f->relisted};
+	    .awaits_rows = f->first_start && !f->relisted,
+	    .first_start = f->first_start};
 
 	switch (pb_decide_start(&facts)) {
 	case PB_START_WAIT:
--- a/source/gateway/gateway-order.c
+++ b/source/gateway/gateway-order.c
@@ -8,10 +8,11 @@
 #define WIDTH_MIN 8
 /*
  * Time in which a router that starts waits for a peer that is starting as well.
- * Reading the store instead takes another second or two, and requests should
- * be served within five.
+ * When a fleet starts for the first time, nothing calls it yet. Later, callers
+ * wait, and reading the store takes less than a second.
  */
-#define START_LIMIT_US (3 * PB_SEC)
+#define FIRST_START_LIMIT_US (3 * PB_SEC)
+#define RESTART_LIMIT_US (400 * PB_MSEC)
 /*
  * Total time spent at start on peers that do not answer. Routers that are gone
  * may stay in the list of routers. The first router can do without the others.
@@ -56,7 +57,8 @@
 	int64_t limit =
 	    facts->peer_precedes ? SILENCE_LIMIT_US : FIRST_SILENCE_LIMIT_US;
 
-	if (facts->elapsed_us >= START_LIMIT_US)
+	if (facts->elapsed_us >=
+	    (facts->first_start ? FIRST_START_LIMIT_US : RESTART_LIMIT_US))
 		return PB_START_READ_STORE;
 	if (!facts->peer_is_starting)
 		return facts->silent_us < limit ? PB_START_NEXT_PEER
--- a/tests/test-order.c
+++ b/tests/test-order.c
@@ -68,8 +68,8 @@
 decide(int64_t elapsed_us, int64_t silent_us, bool starting, bool precedes,
     bool has_source, bool awaits_rows)
 {
-	struct pb_start_facts facts = {
-	    elapsed_us, silent_us, starting, precedes, has_source, awaits_rows};
+	struct pb_start_facts facts = {elapsed_us, silent_us, starting,
+	    precedes, has_source, awaits_rows, true};
 
 	return pb_decide_start(&facts);
 }
@@ -92,6 +92,23 @@
 	    decide(0, 0, true, false, false, true), PB_START_AWAIT_ROWS);
 }
 
+/*
+ * Guards against callers that wait for seconds after a loss of all routers,
+ * because each router waits for another one that reads a long list.
+ */
+static void
+test_restart(void)
+{
+	struct pb_start_facts facts = {.peer_is_starting = true,
+	    .peer_precedes = true,
+	    .peer_has_source = true};
+
+	facts.elapsed_us = 300 * PB_MSEC;
+	CU_ASSERT_EQUAL(pb_decide_start(&facts), PB_START_WAIT);
+	facts.elapsed_us = 400 * PB_MSEC;
+	CU_ASSERT_EQUAL(pb_decide_start(&facts), PB_START_READ_STORE);
+}
+
 /* Guards against two routers that wait for each other. */
 static void
 test_later_peer(void)
@@ -126,7 +143,7 @@
 {
 	CU_TestInfo tests[] = {{"levels", test_levels},
 	    {"small domain", test_small_domain}, {"too far", test_too_far},
-	    {"starting peer", test_starting_peer},
+	    {"starting peer", test_starting_peer}, {"restart", test_restart},
 	    {"later peer", test_later_peer},
 	    {"silent peers", test_silent_peers}, CU_TEST_INFO_NULL};
 
