--- a/review/engine-2.c
+++ b/review/engine-2.c
@@ -23,7 +23,7 @@
  *   fault=NAME   what the heads of the answers with status 200 lack:
  *                none, unsealed (no seal), encoded (a Content-Encoding),
  *                unnamed (no X-Poplarbeam-Attempt-Id)
- *   share=N      the fault is in every Nth answer (1)
+ *   share=N      the fault is in one of N answers (1)
  *   refuse=1     every request is refused: 503 with Not-Executed
  */
 #include <arpa/inet.h>
@@ -192,7 +192,7 @@
 {
 	int n = atomic_fetch_add(&answers, 1);
 
-	return strcmp(settings.fault, "none") != 0 && n % settings.share == 0;
+	return strcmp(settings.fault, "none") != 0 && n % settings.share == settings.share / 2;
 }
 
 static int
