Review: orders run whose callers left before they were sent

Cause: pb_is_sent() is true once the connection is established, so the attempt of a request that must not run twice goes on after its caller has left even if most of its body is still in the router.

--- a/review/client-2.c
+++ b/review/client-2.c
@@ -4,9 +4,10 @@
  *
  *   client-2 PORT METHOD PATH [-H FIELD]... [-d BODY | -f FILE] [-t MS]
  *
- * The line names the status (0: none), whether the answer was complete by its
- * own framing, its seal, the length of its body, the ids of its events and the
- * time that it took.
+ * The client closes its connection after the answer, or after so many MS. The
+ * line names the status (0: none), whether the answer was complete by its own
+ * framing, its seal, the length of its body, the ids of its events, the time that
+ * it took and the Unix time in ms at which the connection was closed.
  */
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -165,7 +166,8 @@
 	char fields[FIELDS_MAX] = "", *body = NULL, *head;
 	size_t used = 0, body_len = 0;
 	long timeout = 20000;
-	long long start = now_ms();
+	long long start = now_ms(), at;
+	struct timespec wall;
 	int fd = socket(AF_INET, SOCK_STREAM, 0), i, n;
 
 	if (argc < 4 || argc % 2 != 0) {
@@ -207,10 +209,12 @@
 	    send(fd, head, (size_t)n + body_len, MSG_NOSIGNAL) > 0)
 		receive(fd, &a, start + timeout);
 	close(fd);
+	clock_gettime(CLOCK_REALTIME, &wall);
+	at = (long long)wall.tv_sec * 1000 + wall.tv_nsec / 1000000;
 	printf("status=%d complete=%s seal=%s length=%zu", a.status,
 	    a.complete ? "yes" : "no", a.seal[0] != '\0' ? a.seal : "none",
 	    a.text_len);
 	print_events(&a);
-	printf(" ms=%lld\n", now_ms() - start);
+	printf(" ms=%lld at=%lld\n", now_ms() - start, at);
 	return a.status == 0;
 }
--- a/review/engine-2.c
+++ b/review/engine-2.c
@@ -24,7 +24,12 @@
  *                none, unsealed (no seal), encoded (a Content-Encoding),
  *                unnamed (no X-Poplarbeam-Attempt-Id)
  *   share=N      the fault is in one of N answers (1)
+ *   late=MS      reads nothing of a request for so long after it has come (0)
+ *   rate=KB      reads so many KB of a request's body a second, through a small
+ *                receive buffer (0: as fast as it comes)
  *   refuse=1     every request is refused: 503 with Not-Executed
+ *   preempt=MS   one of pshare=N streams (8) is preempted: it is silent for so
+ *                long before its event number pat=N (5), then goes on
  */
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -41,17 +46,24 @@
 
 #define HEAD_MAX 32768
 #define TEXT_MAX 256
+/* Receive buffer of an engine that reads slowly. */
+#define SLOW_BUFFER 32768
+#define SLOW_STEP 16384 /* bytes read between two pauses */
 
 struct settings {
 	int events, gap, prefill, work, size, split, share, refuse;
+	int preempt, pshare, pat, late, rate;
 	char fault[32];
 };
 
-static struct settings settings = {40, 50, 150, 30, 800, 0, 1, 0, "none"};
+static struct settings settings = {
+    40, 50, 150, 30, 800, 0, 1, 0, 0, 8, 5, 0, 0,
+    "none"};
 static const char *engine_id;
 static FILE *record;
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
 static atomic_int answers;
+static atomic_int streams;
 
 struct request {
 	char method[16];
@@ -149,9 +161,12 @@
 {
 	static const char end[] = "\r\n\r\n";
 	char head[HEAD_MAX + 1], *line, *rest, *body;
-	size_t len = 0, have;
+	size_t len = 0, have, read_since = 0;
 
 	memset(req, 0, sizeof(*req));
+	if (recv(fd, head, 1, MSG_PEEK) <= 0)
+		return -1;
+	sleep_ms(settings.late);
 	for (;;) {
 		ssize_t n = recv(fd, head + len, HEAD_MAX - len, 0);
 
@@ -173,15 +188,25 @@
 		return -1;
 	while ((line = strtok_r(NULL, "\r\n", &rest)) != NULL)
 		read_field(req, line);
+	if (settings.rate > 0)
+		note(req, "head", "%s %s", req->method, req->path);
 	while (have < req->body_len) {
 		char part[4096];
 		size_t want = req->body_len - have;
 		ssize_t n = recv(
 		    fd, part, want < sizeof(part) ? want : sizeof(part), 0);
 
-		if (n <= 0)
+		if (n <= 0) {
+			note(req, "broken", "after %zu of %zu bytes of the body",
+			    have, req->body_len);
 			return -1;
+		}
 		have += (size_t)n;
+		read_since += (size_t)n;
+		if (settings.rate > 0 && read_since >= SLOW_STEP) {
+			sleep_ms((int)(read_since / (size_t)settings.rate));
+			read_since = 0;
+		}
 	}
 	return 0;
 }
@@ -233,6 +258,9 @@
 static int
 send_stream(int fd, const struct request *req)
 {
+	/* A stream that goes on here is read in again already. */
+	int preempted = settings.preempt > 0 && req->last_event == 0 &&
+	    atomic_fetch_add(&streams, 1) % settings.pshare == 0;
 	long k;
 
 	note(req, "run", "stream after event %ld", req->last_event);
@@ -245,6 +273,11 @@
 	for (k = req->last_event + 1; k <= settings.events; k++) {
 		char event[TEXT_MAX * 2];
 
+		if (preempted && k == settings.pat) {
+			note(req, "preempted", "for %d ms", settings.preempt);
+			if (wait_ms(fd, settings.preempt) != 0)
+				goto cut;
+		}
 		snprintf(event, sizeof(event), "id: %ld\ndata: %s %s %ld\n\n",
 		    k, engine_id, req->attempt, k);
 		if (send_chunk(fd, event) != 0 ||
@@ -332,7 +365,10 @@
 	} numbers[] = {{"events", &settings.events}, {"gap", &settings.gap},
 	    {"prefill", &settings.prefill}, {"work", &settings.work},
 	    {"size", &settings.size}, {"split", &settings.split},
-	    {"share", &settings.share}, {"refuse", &settings.refuse}};
+	    {"share", &settings.share}, {"refuse", &settings.refuse},
+	    {"preempt", &settings.preempt}, {"pshare", &settings.pshare},
+	    {"pat", &settings.pat}, {"late", &settings.late},
+	    {"rate", &settings.rate}};
 	const char *value = strchr(text, '=');
 	size_t i;
 
@@ -373,6 +409,11 @@
 	addr.sin_port = htons((uint16_t)atoi(argv[1]));
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (settings.rate > 0) {
+		int size = SLOW_BUFFER;
+
+		setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	}
 	if (record == NULL ||
 	    bind(listener, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
 	    listen(listener, 128) != 0) {
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -61,7 +61,7 @@
 }
 
 call() { "$BIN/client-2" "$@"; }
-is_ready() { call "$1" GET "${2:-/ready}" -t 500 | grep -q 'status=200'; }
+is_ready() { call "$1" GET "${2:-/ready}" -t 2000 | grep -q 'status=200'; }
 
 # put_row TABLE KEY FILE
 put_row() {
