--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -113,7 +113,7 @@
 		printf ,
 		route pay /pay/ non_idempotent 1 false app 1200 150
 		printf ,
-		route look /look/ idempotent 2 false app 1200 150
+		route look /look/ idempotent 2 false app "${LOOK_MS:-1200}" 150
 		printf '],"services":[{"name":"llm","health-path":"/health",'
 		printf '"max-conns":370},{"name":"app","health-path":"/health",'
 		printf '"max-conns":110}],"limits":{"max-header-bytes":16384,'
