Review: a shorter idle limit cuts answers that are being sent

Cause: a connection counts as idle once its answer is complete in the router, even while the caller has not read it, and a new limit holds at once.

--- a/review/client-2.c
+++ b/review/client-2.c
@@ -2,10 +2,10 @@
  * Client for the scripts of the second review: sends one HTTP/1.1 request on a
  * new connection to 127.0.0.1 and prints what came back, in one line.
  *
- *   client-2 PORT METHOD PATH [-H FIELD]... [-d BODY | -f FILE] [-t MS] [-r KB]
+ *   client-2 PORT METHOD PATH [-H FIELD]... [-d BODY | -f FILE] [-t MS] [-r KB] [-p MS]
  *
- * With -r it reads so many KB of the answer a second, through a small receive
- * buffer. The client closes its connection after the answer, or after so many MS. The
+ * With -r it reads so many KB of the answer a second, and with -p it pauses for so
+ * long after the first few KB, both through a small receive buffer. The client closes its connection after the answer, or after so many MS. The
  * line names the status (0: none), whether the answer was complete by its own
  * framing, its seal, the length of its body, the ids of its events, the time that
  * it took and the Unix time in ms at which the connection was closed.
@@ -124,7 +124,7 @@
 }
 
 static void
-receive(int fd, struct answer *a, long long end_ms, long rate)
+receive(int fd, struct answer *a, long long end_ms, long rate, long pause)
 {
 	while (!a->complete && now_ms() < end_ms) {
 		long long left = end_ms - now_ms();
@@ -137,7 +137,7 @@
 		}
 		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof(tv));
 		n = recv(fd, a->data + a->len,
-		    rate > 0 ? SLOW_STEP : 65535, 0);
+		    rate > 0 || pause > 0 ? SLOW_STEP : 65535, 0);
 		if (rate > 0 && n > 0)
 			usleep((useconds_t)(n * 1000 / rate));
 		if (n > 0)
@@ -148,6 +148,10 @@
 		read_body(a);
 		if (n <= 0)
 			return;
+		if (pause > 0 && a->len >= SLOW_STEP) {
+			usleep((useconds_t)pause * 1000);
+			pause = 0;
+		}
 	}
 }
 
@@ -172,7 +176,7 @@
 	struct answer a = {.length = -1};
 	char fields[FIELDS_MAX] = "", *body = NULL, *head;
 	size_t used = 0, body_len = 0;
-	long timeout = 20000, rate = 0;
+	long timeout = 20000, rate = 0, pause = 0;
 	long long start = now_ms(), at;
 	struct timespec wall;
 	int fd = socket(AF_INET, SOCK_STREAM, 0), i, n;
@@ -180,7 +184,7 @@
 	if (argc < 4 || argc % 2 != 0) {
 		fprintf(stderr, "usage: client-2 PORT METHOD PATH "
 				"[-H FIELD]... [-d BODY | -f FILE] [-t MS] "
-				"[-r KB]\n");
+				"[-r KB] [-p MS]\n");
 		return 2;
 	}
 	for (i = 4; i + 1 < argc; i += 2) {
@@ -189,10 +193,14 @@
 			    sizeof(fields) - used, "%s\r\n", argv[i + 1]);
 		} else if (strcmp(argv[i], "-t") == 0) {
 			timeout = atol(argv[i + 1]);
-		} else if (strcmp(argv[i], "-r") == 0) {
+		} else if (strcmp(argv[i], "-r") == 0 ||
+		    strcmp(argv[i], "-p") == 0) {
 			int size = SLOW_BUFFER;
 
-			rate = atol(argv[i + 1]);
+			if (argv[i][1] == 'r')
+				rate = atol(argv[i + 1]);
+			else
+				pause = atol(argv[i + 1]);
 			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size,
 			    sizeof(size));
 		} else if (strcmp(argv[i], "-d") == 0) {
@@ -221,7 +229,7 @@
 		memcpy(head + n, body, body_len);
 	if (connect(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0 &&
 	    send(fd, head, (size_t)n + body_len, MSG_NOSIGNAL) > 0)
-		receive(fd, &a, start + timeout, rate);
+		receive(fd, &a, start + timeout, rate, pause);
 	close(fd);
 	clock_gettime(CLOCK_REALTIME, &wall);
 	at = (long long)wall.tv_sec * 1000 + wall.tv_nsec / 1000000;
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -118,7 +118,7 @@
 		printf '"max-conns":370},{"name":"app","health-path":"/health",'
 		printf '"max-conns":110}],"limits":{"max-header-bytes":16384,'
 		printf '"max-body-bytes":4194304,"header-timeout-ms":2000,'
-		printf '"idle-timeout-ms":15000},'
+		printf '"idle-timeout-ms":%s},' "${IDLE_MS:-15000}"
 		printf '"tenants":[{"name":"a","api-keys":["%s"]}]}' "$key"
 	} >"$DIR/config"
 	put_row op config "$DIR/config"
