--- a/review/client-2.c
+++ b/review/client-2.c
@@ -2,13 +2,15 @@
  * Client for the scripts of the second review: sends one HTTP/1.1 request on a
  * new connection to 127.0.0.1 and prints what came back, in one line.
  *
- *   client-2 PORT METHOD PATH [-H FIELD]... [-d BODY | -f FILE] [-t MS] [-r KB] [-p MS]
+ *   client-2 PORT METHOD PATH [-H FIELD]... [-d BODY | -f FILE] [-t MS] [-r KB]
+ * [-p MS]
  *
- * With -r it reads so many KB of the answer a second, and with -p it pauses for so
- * long after the first few KB, both through a small receive buffer. The client closes its connection after the answer, or after so many MS. The
- * line names the status (0: none), whether the answer was complete by its own
- * framing, its seal, the length of its body, the ids of its events, the time that
- * it took and the Unix time in ms at which the connection was closed.
+ * With -r it reads so many KB of the answer a second, and with -p it pauses for
+ * so long after the first few KB, both through a small receive buffer. The
+ * client closes its connection after the answer, or after so many MS. The line
+ * names the status (0: none), whether the answer was complete by its own
+ * framing, its seal, the length of its body, the ids of its events, the time
+ * that it took and the Unix time in ms at which the connection was closed.
  */
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -182,9 +184,10 @@
 	int fd = socket(AF_INET, SOCK_STREAM, 0), i, n;
 
 	if (argc < 4 || argc % 2 != 0) {
-		fprintf(stderr, "usage: client-2 PORT METHOD PATH "
-				"[-H FIELD]... [-d BODY | -f FILE] [-t MS] "
-				"[-r KB] [-p MS]\n");
+		fprintf(stderr,
+		    "usage: client-2 PORT METHOD PATH "
+		    "[-H FIELD]... [-d BODY | -f FILE] [-t MS] "
+		    "[-r KB] [-p MS]\n");
 		return 2;
 	}
 	for (i = 4; i + 1 < argc; i += 2) {
@@ -201,8 +204,8 @@
 				rate = atol(argv[i + 1]);
 			else
 				pause = atol(argv[i + 1]);
-			setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size,
-			    sizeof(size));
+			setsockopt(
+			    fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 		} else if (strcmp(argv[i], "-d") == 0) {
 			body = strdup(argv[i + 1]);
 			body_len = strlen(body);
--- a/review/engine-2.c
+++ b/review/engine-2.c
@@ -57,8 +57,7 @@
 };
 
 static struct settings settings = {
-    40, 50, 150, 30, 800, 0, 1, 0, 0, 8, 5, 0, 0,
-    "none"};
+    40, 50, 150, 30, 800, 0, 1, 0, 0, 8, 5, 0, 0, "none"};
 static const char *engine_id;
 static FILE *record;
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -197,8 +196,9 @@
 		    fd, part, want < sizeof(part) ? want : sizeof(part), 0);
 
 		if (n <= 0) {
-			note(req, "broken", "after %zu of %zu bytes of the body",
-			    have, req->body_len);
+			note(req, "broken",
+			    "after %zu of %zu bytes of the body", have,
+			    req->body_len);
 			return -1;
 		}
 		have += (size_t)n;
@@ -217,7 +217,8 @@
 {
 	int n = atomic_fetch_add(&answers, 1);
 
-	return strcmp(settings.fault, "none") != 0 && n % settings.share == settings.share / 2;
+	return strcmp(settings.fault, "none") != 0 &&
+	    n % settings.share == settings.share / 2;
 }
 
 static int
@@ -249,8 +250,8 @@
 send_chunk(int fd, const char *text)
 {
 	char chunk[1024];
-	int n = snprintf(
-	    chunk, sizeof(chunk), "%zx\r\n%s\r\n", strlen(text), text);
+	int n =
+	    snprintf(chunk, sizeof(chunk), "%zx\r\n%s\r\n", strlen(text), text);
 
 	return send_all(fd, chunk, (size_t)n);
 }
@@ -308,7 +309,8 @@
 	snprintf(fields, sizeof(fields),
 	    "Content-Type: text/plain\r\nContent-Length: %d\r\n",
 	    settings.size);
-	if (wait_ms(fd, settings.work) == 0 && send_head(fd, req, fields) == 0 &&
+	if (wait_ms(fd, settings.work) == 0 &&
+	    send_head(fd, req, fields) == 0 &&
 	    send_all(fd, body, (size_t)half) == 0 &&
 	    wait_ms(fd, settings.split) == 0 &&
 	    send_all(fd, body + half, (size_t)(settings.size - half)) == 0)
@@ -342,11 +344,11 @@
 		note(&req, "arrive", "%s %s", req.method, req.path);
 		if (req.expected[0] != '\0' &&
 		    strcmp(req.expected, engine_id) != 0)
-			rc = refuse(fd, &req, 421,
-			    "X-Poplarbeam-Not-Executed: 1\r\n");
+			rc = refuse(
+			    fd, &req, 421, "X-Poplarbeam-Not-Executed: 1\r\n");
 		else if (settings.refuse)
-			rc = refuse(fd, &req, 503,
-			    "X-Poplarbeam-Not-Executed: 1\r\n");
+			rc = refuse(
+			    fd, &req, 503, "X-Poplarbeam-Not-Executed: 1\r\n");
 		else if (strstr(req.path, "stream") != NULL)
 			rc = send_stream(fd, &req);
 		else
@@ -375,7 +377,8 @@
 	if (value == NULL)
 		return -1;
 	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
-		if (strncmp(text, numbers[i].name, (size_t)(value - text)) == 0 &&
+		if (strncmp(text, numbers[i].name, (size_t)(value - text)) ==
+			0 &&
 		    strlen(numbers[i].name) == (size_t)(value - text)) {
 			*numbers[i].value = atoi(value + 1);
 			return 0;
@@ -394,7 +397,8 @@
 	int listener = socket(AF_INET, SOCK_STREAM, 0), one = 1, i;
 
 	if (argc < 4) {
-		fprintf(stderr, "usage: engine-2 PORT ID RECORD [NAME=VALUE]...\n");
+		fprintf(
+		    stderr, "usage: engine-2 PORT ID RECORD [NAME=VALUE]...\n");
 		return 2;
 	}
 	for (i = 4; i < argc; i++) {
@@ -412,7 +416,8 @@
 	if (settings.rate > 0) {
 		int size = SLOW_BUFFER;
 
-		setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+		setsockopt(
+		    listener, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	}
 	if (record == NULL ||
 	    bind(listener, (struct sockaddr *)&addr, sizeof(addr)) != 0 ||
